--- a/include/nickelhub/control.h
+++ b/include/postspread/control.h
@@ -1,11 +1,11 @@
-// The interface of nickelhub: settings, events, actions and the Controller that turns the one into the other.
+// The interface of postspread: settings, events, actions and the Controller that turns one into the other.
 //
 // A gateway embeds one Controller and tells it, in order, everything that happens (an Event with the time at
 // which it happened); the Controller answers with the actions to carry out, in order, at that same moment. It
 // reads no clock, does no I/O, keeps no globals, throws nothing on odd input, and gives the same actions for
 // the same settings, seed and events. All decisions are in src/control.cpp; this file holds types only.
-#ifndef NICKELHUB_CONTROL_H_
-#define NICKELHUB_CONTROL_H_
+#ifndef POSTSPREAD_CONTROL_H_
+#define POSTSPREAD_CONTROL_H_
 
 #include <chrono>
 #include <cstdint>
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace nickelhub {
+namespace postspread {
 
 // Every time and duration is in microseconds. A time point is a duration since an origin that is the same for
 // all gateways of a deployment and need not mean anything else. Gateways number a customer's periods by it,
@@ -268,6 +268,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace nickelhub
+}  // namespace postspread
 
-#endif  // NICKELHUB_CONTROL_H_
+#endif  // POSTSPREAD_CONTROL_H_
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,7 +1,7 @@
-// All decisions of a nickelhub gateway, in the order of a request's life. Types, events and actions:
-// include/nickelhub/control.h. Why: docs/design.md; here each defence says what it guards against, and its
+// All decisions of a postspread gateway, in the order of a request's life. Types, events and actions:
+// include/postspread/control.h. Why: docs/design.md; here each defence says what it guards against, and its
 // harm.
-#include "nickelhub/control.h"
+#include "postspread/control.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace nickelhub {
+namespace postspread {
 namespace {
 
 constexpr double kAskShareOfAim = 0.1;  // of the aim: the longest that an ask may delay a request
@@ -960,4 +960,4 @@
   impl_->Handle(event, now, actions);
 }
 
-}  // namespace nickelhub
+}  // namespace postspread
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -6,15 +6,15 @@
 #include <variant>
 #include <vector>
 
-#include "nickelhub/control.h"
+#include "postspread/control.h"
 #include "wire.h"
 
 namespace {
 
-using nickelhub::Action;
-using nickelhub::Controller;
-using nickelhub::TimePoint;
-namespace wire = nickelhub::wire;
+using postspread::Action;
+using postspread::Controller;
+using postspread::TimePoint;
+namespace wire = postspread::wire;
 
 class Host {
  public:
@@ -83,7 +83,7 @@
     }
     if (host.in_batch()) throw wire::WireError("the input ends inside a batch");
   } catch (const wire::WireError& error) {
-    std::cerr << "nickelhub_simhost: line " << number << ": " << error.what() << "\n";
+    std::cerr << "postspread_simhost: line " << number << ": " << error.what() << "\n";
     return 1;
   }
   return 0;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace nickelhub::wire {
+namespace postspread::wire {
 namespace {
 
 using nlohmann::json;
@@ -453,4 +453,4 @@
 
 std::string EncodeReplyEnd() { return R"({"event_type":"End"})"; }
 
-}  // namespace nickelhub::wire
+}  // namespace postspread::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -1,6 +1,6 @@
-// JSON lines of the simulator's wire to and from the structs of nickelhub/control.h. Pure translation.
-#ifndef NICKELHUB_WIRE_H_
-#define NICKELHUB_WIRE_H_
+// JSON lines of the simulator's wire to and from the structs of postspread/control.h. Pure translation.
+#ifndef POSTSPREAD_WIRE_H_
+#define POSTSPREAD_WIRE_H_
 
 #include <cstdint>
 #include <map>
@@ -11,9 +11,9 @@
 #include <variant>
 #include <vector>
 
-#include "nickelhub/control.h"
+#include "postspread/control.h"
 
-namespace nickelhub::wire {
+namespace postspread::wire {
 
 // What was wrong with a line, in plain words.
 class WireError : public std::runtime_error {
@@ -55,6 +55,6 @@
 std::string Encode(std::int64_t instance, const Action& action);
 std::string EncodeReplyEnd();
 
-}  // namespace nickelhub::wire
+}  // namespace postspread::wire
 
-#endif  // NICKELHUB_WIRE_H_
+#endif  // POSTSPREAD_WIRE_H_
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,5 +1,5 @@
 // The decisions, one symptom a test, without any bench.
-#include "nickelhub/control.h"
+#include "postspread/control.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace nickelhub {
+namespace postspread {
 namespace {
 
 using std::chrono::milliseconds;
@@ -756,4 +756,4 @@
 }
 
 }  // namespace
-}  // namespace nickelhub
+}  // namespace postspread
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <variant>
 
-namespace nickelhub::wire {
+namespace postspread::wire {
 namespace {
 
 template <typename T>
@@ -117,4 +117,4 @@
 }
 
 }  // namespace
-}  // namespace nickelhub::wire
+}  // namespace postspread::wire
