--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,103 @@
+#include "config/config.h"
+
+#include <charconv>
+#include <fstream>
+#include <limits>
+#include <sstream>
+
+#include "json_read.h"
+#include "settings.h"
+
+namespace postspread::config {
+namespace {
+
+using namespace json_read;
+
+constexpr std::int64_t kLeastMemoryMb = 32;  // the program's own need with room for a busy second
+constexpr std::int64_t kLeastSockets = 32;   // a listener, discovery, the counter and some of each side
+constexpr std::chrono::seconds kUsualHopIdle{30};
+constexpr std::int64_t kUsualMaxOpen = 20'000;
+
+// Runs `read` and puts `where` before what it has to say.
+template <typename F>
+auto Within(const char* where, F read) {
+  try {
+    return read();
+  } catch (const JsonError& error) {
+    throw ConfigError(std::string(where) + ": " + error.what());
+  }
+}
+
+std::string Choose(const json& from, const char* key, const Environment& environment, const char* variable) {
+  if (const char* value = environment(variable); value != nullptr && *value != '\0') return value;
+  return TextOr(from, key);
+}
+
+Address ToAddress(const std::string& text, const char* key) {
+  if (text.empty()) throw ConfigError(std::string("\"") + key + "\" is missing");
+  const std::optional<Address> address = Address::Parse(text);
+  if (!address) throw ConfigError(std::string("\"") + key + "\" is not ADDRESS:PORT: \"" + text + "\"");
+  return *address;
+}
+
+std::uint64_t ToSeed(const json& from) {
+  const std::string text = TextOr(from, "seed", "0");
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size()) Bad("member \"seed\" is not a hex number");
+  return seed;
+}
+
+std::int64_t Limit(const json& limits, const char* key, std::int64_t least, std::int64_t absent) {
+  const std::int64_t value = IntegerOr(limits, key, absent);
+  if (value < least) Bad(std::string("member \"") + key + "\" is below " + std::to_string(least));
+  return value;
+}
+
+}  // namespace
+
+Config Decode(std::string_view text, const Environment& environment) {
+  const json from = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (from.is_discarded() || !from.is_object()) throw ConfigError("the configuration is not a JSON object");
+  return Within("configuration", [&] {
+    Config out;
+    out.name = Choose(from, "name", environment, "ROUTER_NAME");
+    if (out.name.empty()) throw ConfigError("\"name\" is missing");
+    out.listen = ToAddress(Choose(from, "listen", environment, "ROUTER_LISTEN"), "listen");
+    out.discovery = ToAddress(Choose(from, "discovery", environment, "ROUTER_DISCOVERY"), "discovery");
+    out.seed = ToSeed(from);
+    const json& limits = Part(from, "limits");
+    Within("limits", [&] {
+      out.memory_mb = static_cast<std::size_t>(Limit(limits, "memory_mb", kLeastMemoryMb, 192));
+      out.sockets = static_cast<std::size_t>(Limit(limits, "sockets", kLeastSockets, 1024));
+      return 0;
+    });
+    if (Find(from, "known") != nullptr)
+      out.known = Within("known", [&] { return DecodeRoster(from["known"]); });
+    const json& settings = Need(from, "settings");
+    out.settings = Within("settings", [&] { return DecodeSettings(settings); });
+    Within("settings.Limits", [&] {
+      const json& own = Part(settings, "Limits");
+      out.hop_idle = std::chrono::microseconds(
+          Limit(own, "ConnIdle", 1, std::chrono::microseconds(kUsualHopIdle).count()));
+      out.max_open = static_cast<std::size_t>(Limit(own, "MaxOpen", 1, kUsualMaxOpen));
+      return 0;
+    });
+    if (out.settings.classes.empty()) throw ConfigError("settings: member \"Classes\" is empty");
+    if (out.settings.plans.empty()) throw ConfigError("settings: member \"Contracts\" is empty");
+    if (out.settings.has_counter) out.counter = ToAddress(TextOr(from, "counter"), "counter");
+    return out;
+  });
+}
+
+Config Load(const Environment& environment) {
+  const char* path = environment("ROUTER_CONFIG");
+  if (path == nullptr || *path == '\0') throw ConfigError("ROUTER_CONFIG is not set");
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) throw ConfigError(std::string("ROUTER_CONFIG: can't read ") + path);
+  return Decode(text.str(), environment);
+}
+
+}  // namespace postspread::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,50 @@
+// The one place where configuration is read, checked and given defaults.
+#ifndef POSTSPREAD_CONFIG_CONFIG_H_
+#define POSTSPREAD_CONFIG_CONFIG_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "config/address.h"
+#include "config/roster.h"
+#include "postspread/control.h"
+
+namespace postspread::config {
+
+// What is wrong with the configuration; names the faulty key.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  Address listen;
+  Address discovery;
+  std::optional<Address> counter;  // nothing: the site has none
+  std::uint64_t seed = 0;
+  std::size_t memory_mb = 192;
+  std::size_t sockets = 1024;
+  Roster known;
+  Settings settings;
+  std::chrono::microseconds hop_idle{0};  // a next hop closes a connection that stood idle for so long
+  std::size_t max_open = 0;               // envelopes held at once
+};
+
+using Environment = std::function<const char*(const char* name)>;
+
+// Reads ROUTER_CONFIG and the variables beside it; a variable wins over the file's key. Throws ConfigError.
+Config Load(const Environment& environment);
+
+// The same from the file's text.
+Config Decode(std::string_view text, const Environment& environment);
+
+}  // namespace postspread::config
+
+#endif  // POSTSPREAD_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/envelope.h
@@ -0,0 +1,25 @@
+// One request as the decisions see it, whatever protocol it came in by.
+#ifndef POSTSPREAD_ENVELOPE_H_
+#define POSTSPREAD_ENVELOPE_H_
+
+#include <chrono>
+#include <string_view>
+
+namespace postspread {
+
+// The text members are slices of the message; they hold for the call that the envelope is passed to.
+struct Envelope {
+  std::string_view class_name{};
+  std::string_view plan{};
+  std::string_view customer{};
+  std::chrono::milliseconds patience{0};  // how long the sender waits for the answer
+  double units = 1.0;
+  int spread = 1;         // the customer's gatekeepers: so many in a row ...
+  int first = 0;          // ... from this number, counted round
+  bool is_retry = false;  // the sender says that it asks again
+  bool is_write = false;
+};
+
+}  // namespace postspread
+
+#endif  // POSTSPREAD_ENVELOPE_H_
--- /dev/null
+++ b/src/http/response.cpp
@@ -0,0 +1,153 @@
+#include "http/response.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace postspread::http {
+namespace {
+
+constexpr std::size_t kMaxHeaders = 16 * 1024;
+constexpr std::size_t kMaxBody = 8 * 1024 * 1024;
+
+bool SameWord(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+bool ToSize(std::string_view text, int base, std::size_t& out) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+  return error == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+}  // namespace
+
+std::size_t ResponseParser::Feed(std::string_view bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !done() && !broken()) {
+    const std::string_view rest = bytes.substr(used);
+    if (state_ == State::kBody || state_ == State::kChunk || state_ == State::kUntilClose) {
+      const std::size_t take = state_ == State::kUntilClose ? rest.size() : std::min(left_, rest.size());
+      if (body_.size() + take > kMaxBody) {
+        state_ = State::kBroken;
+        break;
+      }
+      body_.append(rest.substr(0, take));
+      used += take;
+      if (state_ == State::kUntilClose) continue;
+      left_ -= take;
+      if (left_ == 0) state_ = state_ == State::kBody ? State::kDone : State::kChunkEnd;
+      continue;
+    }
+    const std::size_t end = rest.find('\n');
+    const std::size_t take = end == std::string_view::npos ? rest.size() : end + 1;
+    headers_ += take;
+    if (headers_ > kMaxHeaders) {
+      state_ = State::kBroken;
+      break;
+    }
+    line_.append(rest.substr(0, take));
+    used += take;
+    if (end == std::string_view::npos) continue;
+    line_.pop_back();
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    Line(line_);
+    line_.clear();
+  }
+  return used;
+}
+
+void ResponseParser::End() {
+  if (state_ == State::kDone) return;
+  state_ = state_ == State::kUntilClose ? State::kDone : State::kBroken;
+}
+
+void ResponseParser::Line(std::string_view line) {
+  switch (state_) {
+    case State::kStatus:
+      return StatusLine(line);
+    case State::kHeaders:
+      return line.empty() ? HeadersEnd() : Header(line);
+    case State::kChunkSize:
+      return ChunkSize(line);
+    case State::kChunkEnd:
+      headers_ = 0;
+      state_ = line.empty() ? State::kChunkSize : State::kBroken;
+      return;
+    case State::kTrailers:
+      if (line.empty()) state_ = State::kDone;
+      return;
+    default:
+      state_ = State::kBroken;
+  }
+}
+
+void ResponseParser::StatusLine(std::string_view line) {
+  state_ = State::kBroken;
+  if (line.size() < 12 || !line.starts_with("HTTP/1.")) return;
+  closes_ = line[7] == '0';
+  const std::string_view code = line.substr(9, 3);
+  const auto [end, error] = std::from_chars(code.data(), code.data() + code.size(), status_);
+  if (error != std::errc() || end != code.data() + code.size()) return;
+  state_ = State::kHeaders;
+}
+
+void ResponseParser::Header(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    state_ = State::kBroken;
+    return;
+  }
+  const std::string_view name = line.substr(0, colon), value = Trim(line.substr(colon + 1));
+  if (SameWord(name, "content-length")) {
+    has_length_ = ToSize(value, 10, left_);
+    if (!has_length_ || left_ > kMaxBody) state_ = State::kBroken;
+  } else if (SameWord(name, "transfer-encoding")) {
+    chunked_ = SameWord(value, "chunked");
+    if (!chunked_) state_ = State::kBroken;
+  } else if (SameWord(name, "connection")) {
+    if (SameWord(value, "close")) closes_ = true;
+    if (SameWord(value, "keep-alive")) closes_ = false;
+  }
+}
+
+void ResponseParser::HeadersEnd() {
+  if (status_ >= 100 && status_ < 200) {  // an interim answer: the real one follows
+    Reset();
+  } else if (status_ == 204 || status_ == 304) {
+    state_ = State::kDone;
+  } else if (chunked_) {
+    state_ = State::kChunkSize;
+  } else if (has_length_) {
+    state_ = left_ == 0 ? State::kDone : State::kBody;
+  } else {
+    closes_ = true;
+    state_ = State::kUntilClose;
+  }
+}
+
+void ResponseParser::ChunkSize(std::string_view line) {
+  const std::string_view digits = Trim(line.substr(0, line.find(';')));
+  if (!ToSize(digits, 16, left_) || left_ > kMaxBody) {
+    state_ = State::kBroken;
+  } else {
+    state_ = left_ == 0 ? State::kTrailers : State::kChunk;
+  }
+}
+
+std::string GetRequest(std::string_view host, std::string_view target) {
+  std::string out = "GET ";
+  out.append(target)
+      .append(" HTTP/1.1\r\nHost: ")
+      .append(host)
+      .append("\r\nAccept: application/json\r\n\r\n");
+  return out;
+}
+
+}  // namespace postspread::http
--- /dev/null
+++ b/src/http/response.h
@@ -0,0 +1,61 @@
+// Incremental parser of HTTP/1.1 responses, and the writer of the requests that they answer. No I/O.
+#ifndef POSTSPREAD_HTTP_RESPONSE_H_
+#define POSTSPREAD_HTTP_RESPONSE_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace postspread::http {
+
+class ResponseParser {
+ public:
+  enum class State {
+    kStatus,
+    kHeaders,
+    kBody,
+    kChunkSize,
+    kChunk,
+    kChunkEnd,
+    kTrailers,
+    kUntilClose,
+    kDone,
+    kBroken
+  };
+
+  // Takes bytes as they come and returns how many were used: all, unless the response ended or is broken.
+  std::size_t Feed(std::string_view bytes);
+  // The connection has ended. A body without a stated length ends with it.
+  void End();
+  // Ready for the next response on the same connection.
+  void Reset() { *this = ResponseParser(); }
+
+  bool done() const { return state_ == State::kDone; }
+  bool broken() const { return state_ == State::kBroken; }
+  int status() const { return status_; }
+  const std::string& body() const { return body_; }
+  bool closes() const { return closes_; }  // the connection can't be used again
+
+ private:
+  void Line(std::string_view line);
+  void StatusLine(std::string_view line);
+  void Header(std::string_view line);
+  void HeadersEnd();
+  void ChunkSize(std::string_view line);
+
+  State state_ = State::kStatus;
+  int status_ = 0;
+  bool closes_ = false;
+  bool chunked_ = false;
+  bool has_length_ = false;
+  std::size_t left_ = 0;     // bytes of the body or chunk that are still to come
+  std::size_t headers_ = 0;  // bytes of status line and headers so far
+  std::string line_;         // the part of a line that has come
+  std::string body_;
+};
+
+std::string GetRequest(std::string_view host, std::string_view target);
+
+}  // namespace postspread::http
+
+#endif  // POSTSPREAD_HTTP_RESPONSE_H_
--- /dev/null
+++ b/src/net/counter_client.cpp
@@ -0,0 +1,178 @@
+#include "net/counter_client.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "net/log.h"
+
+namespace postspread::net {
+namespace {
+
+using planner::CounterResult;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kUpkeep{100};
+constexpr milliseconds kRedial{200};       // between two tries to connect
+constexpr milliseconds kSilence{1'000};    // without a word on what was asked: the connection counts as dead
+constexpr milliseconds kKeepInUse{2'000};  // the counter closes what stands idle for some 10 s
+constexpr std::size_t kMaxCalls = 4096;    // unanswered calls that are kept
+constexpr std::int64_t kMaxLifeMs = 60'000;
+
+bool ToNumber(std::string_view text, double& out) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+}  // namespace
+
+CounterClient::CounterClient(event_base* base, config::Address address, microseconds timeout,
+                             microseconds dial_timeout, CounterListener& listener)
+    : base_(base),
+      address_(std::move(address)),
+      timeout_(timeout),
+      dial_timeout_(dial_timeout),
+      listener_(listener),
+      timer_(base, [this] { OnTimer(); }),
+      upkeep_(base, [this] { Upkeep(); }) {
+  Dial();
+  upkeep_.Arm(kUpkeep);
+}
+
+void CounterClient::Dial() {
+  dialled_ = used_ = Clock::now();
+  up_ = false;
+  appended_ = 0;
+  need_ = 0;
+  connection_ = net::Dial(
+      base_, address_, [](bufferevent*, void* self) { static_cast<CounterClient*>(self)->Read(); }, nullptr,
+      [](bufferevent*, short what, void* self) { static_cast<CounterClient*>(self)->Event(what); }, this);
+  if (connection_) bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
+}
+
+void CounterClient::Ask(planner::AskCounter ask) {
+  // A call is not kept for a connection that is still to come: told as not added, it must not be added later.
+  if (!up_ || calls_.size() >= kMaxCalls) {
+    return listener_.CounterAnswered({std::move(ask.name), CounterResult::kUnreachable, 0, microseconds(0)});
+  }
+  // The counter reads decimal numbers only, so no exponent; the shortest form that gives the same number.
+  std::array<char, 400> amount;
+  const auto amount_end =
+      std::to_chars(amount.data(), amount.data() + amount.size(), ask.amount, std::chars_format::fixed).ptr;
+  const std::int64_t life_ms =
+      std::clamp<std::int64_t>(std::chrono::ceil<milliseconds>(ask.life).count(), 1, kMaxLifeMs);
+  std::array<char, 24> life;
+  const auto life_end = std::to_chars(life.data(), life.data() + life.size(), life_ms).ptr;
+  message_.clear();
+  resp::AppendCommand({"CNT.ADD", ask.name, {amount.data(), amount_end}, {life.data(), life_end}}, message_);
+  Send(message_, std::move(ask.name));
+  if (calls_.size() - reported_ == 1) ArmTimer();
+}
+
+void CounterClient::Send(std::string_view message, std::string name) {
+  appended_ += message.size();
+  used_ = Clock::now();
+  calls_.push_back({.name = std::move(name), .begun = used_, .end = appended_});
+  Write(connection_.get(), message);
+}
+
+void CounterClient::Event(short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    up_ = true;
+    if (!std::exchange(was_up_, true)) Log("counter connection is up again");
+  } else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    Lost(up_ ? "closed by the counter" : "refused");
+  }
+}
+
+// Every unanswered call ends: what had not left was not added, the rest may have been.
+void CounterClient::Lost(std::string_view why) {
+  const std::uint64_t written = up_ ? appended_ - Unwritten(connection_.get()) : 0;
+  connection_.reset();
+  up_ = false;
+  timer_.Disarm();
+  if (std::exchange(was_up_, false)) Log("counter connection is lost", why);
+  std::deque<Call> calls = std::exchange(calls_, {});
+  reported_ = 0;
+  for (Call& call : calls) {
+    Report(call, call.end <= written ? CounterResult::kNoAnswer : CounterResult::kUnreachable);
+  }
+}
+
+void CounterClient::Read() {
+  resp::Reply reply;
+  while (connection_) {
+    const std::size_t size = ReadSize(connection_.get());
+    if (size < std::max<std::size_t>(1, need_)) return;
+    const std::string_view bytes = need_ > 1 ? Peek(connection_.get(), need_) : PeekFirst(connection_.get());
+    const resp::Progress progress = resp::ParseReply(bytes, reply);
+    if (progress == resp::Progress::kPartial) {
+      need_ = reply.need;
+      continue;
+    }
+    need_ = 0;
+    if (progress == resp::Progress::kBroken || calls_.empty()) return Lost("malformed answer");
+    Take(reply);
+  }
+}
+
+void CounterClient::Take(const resp::Reply& reply) {
+  using Kind = resp::Reply::Kind;
+  Call call = std::move(calls_.front());
+  calls_.pop_front();
+  if (reported_ > 0) --reported_;
+  used_ = Clock::now();
+  CounterResult result = CounterResult::kTurnedAway;  // "-BUSY", "-ERR": nothing was added
+  double total = 0;
+  const bool has_total = reply.kind == Kind::kBulk || reply.kind == Kind::kInteger;
+  if (has_total && ToNumber(reply.text, total))
+    result = CounterResult::kAdded;
+  else if (reply.kind != Kind::kError)
+    result = CounterResult::kNoAnswer;
+  Consume(connection_.get(), reply.size);
+  Report(call, result, total);
+}
+
+void CounterClient::Report(Call& call, CounterResult result, double total) {
+  if (std::exchange(call.reported, true) || call.name.empty()) return;
+  const auto elapsed = duration_cast<microseconds>(Clock::now() - call.begun);
+  listener_.CounterAnswered({std::move(call.name), result, total, elapsed});
+}
+
+// Calls whose time is up are reported; their slots stay, so that later answers still find theirs.
+void CounterClient::OnTimer() {
+  const auto now = Clock::now();
+  while (reported_ < calls_.size() && calls_[reported_].begun + timeout_ <= now) {
+    Report(calls_[reported_++], CounterResult::kNoAnswer);
+  }
+  ArmTimer();
+}
+
+void CounterClient::ArmTimer() {
+  if (reported_ >= calls_.size()) return;
+  timer_.Arm(std::chrono::ceil<microseconds>(calls_[reported_].begun + timeout_ - Clock::now()));
+}
+
+void CounterClient::Upkeep() {
+  upkeep_.Arm(kUpkeep);
+  const auto now = Clock::now();
+  if (!connection_) {
+    if (now - dialled_ >= kRedial) Dial();
+    return;
+  }
+  if (!up_) {
+    if (now - dialled_ >= dial_timeout_) Lost("no connection in time");
+    return;
+  }
+  // A counter that vanished says nothing and TCP does not notice: what it was asked stays unanswered.
+  if (!calls_.empty() && now - calls_.front().begun >= kSilence) return Lost("silent");
+  if (calls_.empty() && now - used_ >= kKeepInUse) {
+    message_.clear();
+    resp::AppendCommand({"PING"}, message_);
+    Send(message_, {});
+  }
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/discovery_watch.h
@@ -0,0 +1,49 @@
+// Keeps up with discovery's list: asks for the whole once, then watches for changes.
+#ifndef POSTSPREAD_NET_DISCOVERY_WATCH_H_
+#define POSTSPREAD_NET_DISCOVERY_WATCH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+#include "config/roster.h"
+#include "http/response.h"
+#include "net/loop.h"
+
+namespace postspread::net {
+
+class DiscoveryWatch {
+ public:
+  using OnRoster = std::function<void(config::Roster roster)>;
+
+  DiscoveryWatch(event_base* base, config::Address address, std::chrono::microseconds dial_timeout,
+                 OnRoster on_roster);
+  DiscoveryWatch(const DiscoveryWatch&) = delete;
+  DiscoveryWatch& operator=(const DiscoveryWatch&) = delete;
+
+  bool heard() const { return has_index_; }  // a list has come since the start
+
+ private:
+  void Dial();
+  void Ask();
+  void Event(short what);
+  void Read();
+  void Answered();
+  void Lost(std::string_view why);
+
+  event_base* base_;
+  config::Address address_;
+  std::chrono::microseconds dial_timeout_;
+  OnRoster on_roster_;
+  BufferEvent connection_;
+  http::ResponseParser parser_;
+  bool has_index_ = false;
+  std::uint64_t index_ = 0;
+  bool failing_ = false;  // so that only changes are logged
+  Timer timer_;           // the answer is overdue, or it is time to dial again
+};
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_DISCOVERY_WATCH_H_
--- /dev/null
+++ b/src/net/gatekeeper.cpp
@@ -0,0 +1,212 @@
+#include "net/gatekeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/log.h"
+
+namespace postspread::net {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSettle{1'000};     // for discovery and the counter to answer after the start
+constexpr milliseconds kKeepServing{500};  // after SIGTERM new connections go on coming for a while
+constexpr milliseconds kDrainCheck{20};    // between two looks whether all is answered
+constexpr std::size_t kOtherSockets =
+    16;  // log, loop, listener, discovery, counter and what the library holds
+constexpr std::size_t kBytesPerMb = 1 << 20;
+
+resp::Vocabulary ToVocabulary(const Settings& settings) {
+  resp::Vocabulary out;
+  for (const ClassSettings& c : settings.classes) {
+    out.classes.push_back(
+        {.name = c.name, .is_safe = c.repeat == Repeat::kSafe, .is_keyed = c.repeat == Repeat::kKeyed});
+  }
+  for (const PlanSettings& p : settings.plans) out.plans.push_back(p.name);
+  out.gatekeepers = settings.group_size;
+  out.max_units = settings.max_units;
+  return out;
+}
+
+microseconds WallNow() {
+  return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::size_t Sockets(const config::Config& config) { return config.sockets - kOtherSockets; }
+
+}  // namespace
+
+Gatekeeper::Gatekeeper(event_base* base, const config::Config& config)
+    : base_(base),
+      planner_(config.settings, config.seed, WallNow(), Clock::now()),
+      max_open_(config.max_open),
+      max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
+      tick_(base, [this] { Tick(); }),
+      settle_(base, [this] { settled_ = true; }),
+      drain_(base, [this] { DrainStage(); }),
+      pool_(base,
+            {.dial_timeout = config.settings.dial_timeout,
+             .idle = config.hop_idle,
+             .connections = Sockets(config) / 2},
+            *this),
+      sender_side_(base, config.listen, ToVocabulary(config.settings), Sockets(config) / 2, *this) {
+  if (config.counter) {
+    counter_.emplace(base, *config.counter, config.settings.counter_timeout, config.settings.dial_timeout,
+                     static_cast<CounterListener&>(*this));
+  }
+  RosterCame(config.known, planner::RosterScope::kRemembered);
+  discovery_.emplace(base, config.discovery, config.settings.dial_timeout, [this](config::Roster roster) {
+    const auto scope = roster.full ? planner::RosterScope::kFull : planner::RosterScope::kChanges;
+    RosterCame(std::move(roster), scope);
+  });
+  settle_.Arm(kSettle);
+}
+
+bool Gatekeeper::Ready() const {
+  // An outage of the counter or of discovery must not keep a gatekeeper that has next hops from starting.
+  const bool connected = (!counter_ || counter_->up()) && discovery_->heard();
+  return ready_hops_ > 0 && (connected || settled_);
+}
+
+planner::EnvelopeNumber Gatekeeper::Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
+                                         Recipient::Ticket ticket) {
+  if (held_.size() >= max_open_ || held_bytes_ + letter.size() > max_held_bytes_) {
+    recipient.Defer(ticket, milliseconds(0));
+    return 0;
+  }
+  const planner::Planner::Picked picked = planner_.Pick(envelope, Clock::now());
+  held_bytes_ += letter.size();
+  held_.emplace(picked.number, Held{std::move(letter), &recipient, ticket});
+  Run(picked.steps);
+  RunQueued();
+  return picked.number;
+}
+
+void Gatekeeper::SenderGone(planner::EnvelopeNumber number) {
+  if (Release(number)) Report(planner::SenderGone{number});
+}
+
+void Gatekeeper::AttemptEnded(const planner::AttemptReport& report, std::string_view value) {
+  if (report.result == planner::AttemptResult::kServed) {
+    if (const std::optional<Held> held = Release(report.envelope))
+      held->recipient->Serve(held->ticket, value);
+  }
+  Report(report);
+}
+
+void Gatekeeper::ProbeEnded(const planner::ProbeReport& report) { Report(report); }
+
+void Gatekeeper::CounterAnswered(planner::CounterReport report) { Report(std::move(report)); }
+
+void Gatekeeper::RosterCame(config::Roster roster, planner::RosterScope scope) {
+  planner::RosterReport report{.scope = scope, .index = roster.index, .next_hops = {}};
+  if (roster.full) hops_.clear();
+  for (const config::RosterEntry& entry : roster.entries) {
+    hops_[entry.hop.name] = entry.hop.state == planner::HopState::kReady;
+    report.next_hops.push_back(entry.hop);
+  }
+  ready_hops_ = static_cast<std::size_t>(
+      std::count_if(hops_.begin(), hops_.end(), [](const auto& h) { return h.second; }));
+  // The planner hears of the list before it hears of the attempts that the list ends.
+  busy_ = true;
+  pool_.Apply(roster);
+  busy_ = false;
+  reports_.push_front(std::move(report));
+  RunQueued();
+}
+
+void Gatekeeper::Report(planner::ReportValue report) {
+  reports_.push_back(std::move(report));
+  RunQueued();
+}
+
+// The planner is called only between steps: what comes back while steps are carried out waits its turn.
+void Gatekeeper::RunQueued() {
+  if (busy_) return;
+  while (!reports_.empty()) {
+    planner::ReportValue report = std::move(reports_.front());
+    reports_.pop_front();
+    Run(planner_.Report(std::move(report), Clock::now()));
+  }
+  ArmTick();
+}
+
+void Gatekeeper::Run(planner::Steps steps) {
+  busy_ = true;
+  for (planner::Step& step : steps) {
+    std::visit([this](auto& s) { Do(s); }, step);
+  }
+  busy_ = false;
+}
+
+void Gatekeeper::ArmTick() {
+  const std::optional<Clock::time_point> next = planner_.NextTick();
+  if (!next || (armed_ && *armed_ <= *next)) return;
+  armed_ = next;
+  tick_.Arm(std::chrono::ceil<microseconds>(*next - Clock::now()));
+}
+
+void Gatekeeper::Tick() {
+  armed_.reset();
+  Run(planner_.Tick(Clock::now()));
+  RunQueued();
+}
+
+std::optional<Gatekeeper::Held> Gatekeeper::Release(planner::EnvelopeNumber number) {
+  const auto found = held_.find(number);
+  if (found == held_.end()) return std::nullopt;
+  std::optional<Held> out = std::move(found->second);
+  held_bytes_ -= out->letter.size();
+  held_.erase(found);
+  return out;
+}
+
+void Gatekeeper::Do(planner::Deliver& step) {
+  const auto found = held_.find(step.envelope);
+  if (found == held_.end()) return;
+  message_.clear();
+  found->second.letter.Render(std::max(milliseconds(1), std::chrono::floor<milliseconds>(step.timeout)),
+                              message_);
+  pool_.Deliver({step.envelope, step.attempt}, step.next_hop, message_, step.timeout);
+}
+
+void Gatekeeper::Do(planner::Defer& step) {
+  if (const std::optional<Held> held = Release(step.envelope)) {
+    held->recipient->Defer(held->ticket, std::chrono::ceil<milliseconds>(step.retry_after));
+  }
+}
+
+void Gatekeeper::Do(planner::Fail& step) {
+  if (const std::optional<Held> held = Release(step.envelope)) held->recipient->Fail(held->ticket);
+}
+
+void Gatekeeper::Do(planner::Abandon& step) { pool_.Abandon({step.envelope, step.attempt}); }
+
+void Gatekeeper::Do(planner::AskCounter& step) {
+  if (counter_) return counter_->Ask(std::move(step));
+  CounterAnswered({std::move(step.name), planner::CounterResult::kUnreachable, 0, microseconds(0)});
+}
+
+void Gatekeeper::Do(planner::ProbeHop& step) { pool_.Probe(step.next_hop); }
+
+void Gatekeeper::Do(planner::Note& step) { Log("decisions", step.line); }
+
+void Gatekeeper::Drain() {
+  if (std::exchange(drain_begun_, true)) return;
+  Log("draining", "told to stop");
+  drain_.Arm(kKeepServing);
+}
+
+void Gatekeeper::DrainStage() {
+  sender_side_.Drain();
+  if (sender_side_.empty()) {
+    event_base_loopbreak(base_);
+    return;
+  }
+  drain_.Arm(kDrainCheck);
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/gatekeeper.h
@@ -0,0 +1,91 @@
+// Joins the sender side, the planner and what the planner's steps need. It decides nothing: it carries out
+// steps and reports what came back.
+#ifndef POSTSPREAD_NET_GATEKEEPER_H_
+#define POSTSPREAD_NET_GATEKEEPER_H_
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "config/config.h"
+#include "net/counter_client.h"
+#include "net/discovery_watch.h"
+#include "net/next_hop_pool.h"
+#include "net/sender_side.h"
+#include "planner/planner.h"
+
+namespace postspread::net {
+
+class Gatekeeper final : private Intake, private AttemptListener, private CounterListener {
+ public:
+  // Listens at once; throws std::runtime_error where it can't.
+  Gatekeeper(event_base* base, const config::Config& config);
+  Gatekeeper(const Gatekeeper&) = delete;
+  Gatekeeper& operator=(const Gatekeeper&) = delete;
+
+  // SIGTERM has come: goes on for a while, then answers what was taken and ends the loop.
+  void Drain();
+
+ private:
+  struct Held {  // an envelope that is owed its final answer
+    resp::Letter letter;
+    Recipient* recipient = nullptr;
+    Recipient::Ticket ticket = 0;
+  };
+
+  // Intake
+  bool Ready() const override;
+  planner::EnvelopeNumber Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
+                               Recipient::Ticket ticket) override;
+  void SenderGone(planner::EnvelopeNumber number) override;
+  // AttemptListener
+  void AttemptEnded(const planner::AttemptReport& report, std::string_view value) override;
+  void ProbeEnded(const planner::ProbeReport& report) override;
+  // CounterListener
+  void CounterAnswered(planner::CounterReport report) override;
+
+  void RosterCame(config::Roster roster, planner::RosterScope scope);
+  void Report(planner::ReportValue report);
+  void Run(planner::Steps steps);
+  void RunQueued();
+  void ArmTick();
+  void Tick();
+  std::optional<Held> Release(planner::EnvelopeNumber number);
+  void Do(planner::Deliver& step);
+  void Do(planner::Defer& step);
+  void Do(planner::Fail& step);
+  void Do(planner::Abandon& step);
+  void Do(planner::AskCounter& step);
+  void Do(planner::ProbeHop& step);
+  void Do(planner::Note& step);
+  void DrainStage();
+
+  event_base* base_;
+  planner::Planner planner_;
+  std::size_t max_open_;
+  std::size_t max_held_bytes_;
+  std::unordered_map<planner::EnvelopeNumber, Held> held_;
+  std::size_t held_bytes_ = 0;
+  bool busy_ = false;                         // steps are being carried out
+  std::deque<planner::ReportValue> reports_;  // what came back meanwhile
+  std::optional<Clock::time_point> armed_;
+  std::string message_;
+  Timer tick_;
+  Timer settle_;
+  Timer drain_;
+  bool settled_ = false;
+  bool drain_begun_ = false;
+  std::size_t ready_hops_ = 0;
+  std::unordered_map<std::string, bool> hops_;  // by name: ready
+  NextHopPool pool_;
+  std::optional<CounterClient> counter_;
+  SenderSide sender_side_;
+  std::optional<DiscoveryWatch> discovery_;
+};
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_GATEKEEPER_H_
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,88 @@
+#include "net/loop.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace postspread::net {
+
+EventBase MakeEventBase() {
+  EventBase base(event_base_new());
+  if (!base) throw std::runtime_error("no event loop");
+  return base;
+}
+
+Timer::Timer(event_base* base, std::function<void()> callback) : callback_(std::move(callback)) {
+  event_.reset(evtimer_new(
+      base, [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->callback_(); }, this));
+  if (!event_) throw std::runtime_error("no timer");
+}
+
+void Timer::Arm(std::chrono::microseconds after) {
+  after = std::max(after, std::chrono::microseconds(0));
+  timeval tv{};
+  tv.tv_sec = static_cast<time_t>(after.count() / 1'000'000);
+  tv.tv_usec = static_cast<suseconds_t>(after.count() % 1'000'000);
+  event_add(event_.get(), &tv);
+}
+
+void Timer::Disarm() { event_del(event_.get()); }
+
+BufferEvent Dial(event_base* base, const config::Address& address, bufferevent_data_cb on_read,
+                 bufferevent_data_cb on_written, bufferevent_event_cb on_event, void* context) {
+  const int fd = socket(address.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return nullptr;
+  const int one = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  BufferEvent out(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE));
+  if (!out) {
+    close(fd);
+    return nullptr;
+  }
+  bufferevent_setcb(out.get(), on_read, on_written, on_event, context);
+  if (bufferevent_socket_connect(out.get(), address.get(), static_cast<int>(address.size())) != 0) {
+    return nullptr;
+  }
+  return out;
+}
+
+void Write(bufferevent* connection, std::string_view bytes) {
+  if (Unwritten(connection) == 0) {
+    // Saves two changes of the poll set and a turn of the loop for each message. An error is left to the
+    // loop, which reports it with the bytes still unwritten.
+    const ssize_t sent = send(bufferevent_getfd(connection), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent > 0) bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+  if (!bytes.empty()) bufferevent_write(connection, bytes.data(), bytes.size());
+}
+
+std::size_t Unwritten(bufferevent* connection) {
+  return evbuffer_get_length(bufferevent_get_output(connection));
+}
+
+std::string_view Peek(bufferevent* connection, std::size_t size) {
+  evbuffer* input = bufferevent_get_input(connection);
+  const unsigned char* bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
+  if (bytes == nullptr) return {};
+  return {reinterpret_cast<const char*>(bytes), std::max(size, evbuffer_get_contiguous_space(input))};
+}
+
+std::string_view PeekFirst(bufferevent* connection) {
+  evbuffer* input = bufferevent_get_input(connection);
+  return Peek(connection, evbuffer_get_contiguous_space(input));
+}
+
+std::size_t ReadSize(bufferevent* connection) {
+  return evbuffer_get_length(bufferevent_get_input(connection));
+}
+
+void Consume(bufferevent* connection, std::size_t size) {
+  evbuffer_drain(bufferevent_get_input(connection), size);
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,68 @@
+// Owning wrappers of libevent's handles, and what every connection here needs of it.
+#ifndef POSTSPREAD_NET_LOOP_H_
+#define POSTSPREAD_NET_LOOP_H_
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "config/address.h"
+
+namespace postspread::net {
+
+using Clock = std::chrono::steady_clock;
+
+template <auto kFree>
+struct Free {
+  template <typename T>
+  void operator()(T* handle) const {
+    kFree(handle);
+  }
+};
+using EventBase = std::unique_ptr<event_base, Free<event_base_free>>;
+using EventHandle = std::unique_ptr<event, Free<event_free>>;
+using BufferEvent = std::unique_ptr<bufferevent, Free<bufferevent_free>>;
+using Listener = std::unique_ptr<evconnlistener, Free<evconnlistener_free>>;
+
+// Throws std::runtime_error.
+EventBase MakeEventBase();
+
+// Calls back once after each Arm; a second Arm moves the time.
+class Timer {
+ public:
+  Timer(event_base* base, std::function<void()> callback);
+  void Arm(std::chrono::microseconds after);
+  void Disarm();
+
+ private:
+  std::function<void()> callback_;
+  EventHandle event_;
+};
+
+// A connection that is being opened without delay of small messages; null where no socket could be had or the
+// address can't be reached at all.
+BufferEvent Dial(event_base* base, const config::Address& address, bufferevent_data_cb on_read,
+                 bufferevent_data_cb on_written, bufferevent_event_cb on_event, void* context);
+
+// Writes at once what the socket takes, and leaves the rest to the loop.
+void Write(bufferevent* connection, std::string_view bytes);
+
+// Bytes handed to `connection` that its socket has not taken yet.
+std::size_t Unwritten(bufferevent* connection);
+
+// The first `size` bytes of what was read, in one piece.
+std::string_view Peek(bufferevent* connection, std::size_t size);
+// What lies in one piece at the front of what was read.
+std::string_view PeekFirst(bufferevent* connection);
+std::size_t ReadSize(bufferevent* connection);
+void Consume(bufferevent* connection, std::size_t size);
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_LOOP_H_
--- /dev/null
+++ b/src/net/next_hop_pool.cpp
@@ -0,0 +1,327 @@
+#include "net/next_hop_pool.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "net/log.h"
+#include "resp/request.h"
+
+namespace postspread::net {
+namespace {
+
+using planner::AttemptResult;
+using std::chrono::microseconds;
+
+constexpr std::chrono::milliseconds kUpkeep{1'000};
+constexpr double kIdleShare = 0.7;  // of the idle limit: a write at the limit itself would be a reset
+
+}  // namespace
+
+struct NextHopPool::Hop {
+  std::string name;
+  config::Address address;
+  planner::HopState state = planner::HopState::kReady;
+  std::chrono::milliseconds started{0};
+  std::vector<std::unique_ptr<Connection>> connections;
+};
+
+class NextHopPool::Connection {
+ public:
+  Connection(NextHopPool& pool, Hop& hop)
+      : pool_(pool), hop_(hop), timer_(pool.base_, [this] { TimedOut(); }) {}
+
+  bool Dial() {
+    connection_ = net::Dial(
+        pool_.base_, hop_.address, [](bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); },
+        nullptr, [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); },
+        this);
+    if (!connection_) return false;
+    bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
+    return true;
+  }
+
+  // Without a key it is a probe.
+  void Begin(const AttemptKey* key, std::string_view message, microseconds timeout, Clock::time_point begun) {
+    is_probe_ = key == nullptr;
+    key_ = key == nullptr ? AttemptKey{} : *key;
+    busy_ = true;
+    need_ = 0;
+    begun_ = begun;
+    if (up_) {
+      Write(connection_.get(), message);
+      timer_.Arm(timeout);
+      return;
+    }
+    ends_ = begun + timeout;
+    bufferevent_write(connection_.get(), message.data(), message.size());  // leaves once it is up
+    timer_.Arm(std::min(timeout, pool_.limits_.dial_timeout));
+  }
+
+  // Ends what is under way by closing the connection. Nothing of it may be touched afterwards.
+  void Close(AttemptResult result, const planner::Load& load = {}) {
+    const std::unique_ptr<Connection> self = pool_.Remove(*this);
+    if (busy_) Report(result, {}, load);
+  }
+
+  // A next hop that drains or is gone may get nothing new: what has not been written to it goes elsewhere.
+  void LeaveIfUnsent() {
+    if (busy_ && !up_) Close(AttemptResult::kCouldNotConnect);
+  }
+
+  Hop& hop() { return hop_; }
+  bool idle() const { return !busy_ && up_; }
+  Clock::time_point idle_since() const { return idle_since_; }
+
+ private:
+  void Event(short what) {
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      up_ = true;
+      if (busy_) timer_.Arm(std::chrono::duration_cast<microseconds>(ends_ - Clock::now()));
+      return;
+    }
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+    // Before the last byte has left, the next hop can't have begun; after that it may have.
+    const bool never_ran = !up_ || Unwritten(connection_.get()) > 0;
+    // What broke one connection has most likely broken those that stand idle beside it: each would cost an
+    // attempt that then counts as one that may have run.
+    if (busy_) pool_.CloseIdle(hop_, Clock::time_point::max());
+    Close(never_ran ? AttemptResult::kCouldNotConnect : AttemptResult::kReset);
+  }
+
+  void TimedOut() {
+    if (!busy_) return;
+    const bool never_ran = !up_ || Unwritten(connection_.get()) > 0;
+    Close(never_ran ? AttemptResult::kCouldNotConnect : AttemptResult::kTimedOut);
+  }
+
+  void Read() {
+    if (!busy_) return Close(AttemptResult::kReset);  // nobody asked
+    resp::Reply reply;
+    for (;;) {
+      const std::size_t size = ReadSize(connection_.get());
+      if (size < std::max<std::size_t>(1, need_)) return;
+      const std::string_view bytes =
+          need_ > 1 ? Peek(connection_.get(), need_) : PeekFirst(connection_.get());
+      const resp::Progress progress = resp::ParseReply(bytes, reply);
+      if (progress == resp::Progress::kPartial) {
+        need_ = reply.need;
+        continue;
+      }
+      if (progress == resp::Progress::kBroken) {
+        Log("next hop's answer is malformed", hop_.name);
+        return Close(AttemptResult::kReset);
+      }
+      break;
+    }
+    Take(reply);
+  }
+
+  void Take(const resp::Reply& reply) {
+    using Kind = resp::Reply::Kind;
+    AttemptResult result = AttemptResult::kError;
+    planner::Load load;
+    std::string_view value;
+    if (reply.kind == Kind::kError) {
+      // "-BUSY", "-ERR failed": the load report may stand last, behind a space.
+      const std::string_view word = reply.text.substr(0, reply.text.find(' '));
+      if (word == "BUSY") result = AttemptResult::kTurnedAway;
+      const std::size_t space = reply.text.rfind(' ');
+      if (space != std::string_view::npos) load = resp::DecodeLoad(reply.text.substr(space + 1));
+    } else if (is_probe_ && (reply.kind == Kind::kBulk || reply.kind == Kind::kSimple)) {
+      result = AttemptResult::kServed;
+      load = resp::DecodeLoad(reply.text);
+    } else if (!is_probe_ && reply.kind == Kind::kArray && reply.count >= 1 && !reply.parts[0].null &&
+               reply.first_raw.front() == '$') {
+      result = AttemptResult::kServed;
+      value = reply.first_raw;
+      if (reply.count >= 3 && !reply.parts[2].null) load = resp::DecodeLoad(reply.parts[2].text);
+    } else {
+      Log("next hop's answer is malformed", hop_.name);
+      return Close(AttemptResult::kReset);
+    }
+    timer_.Disarm();
+    // `value` is a slice of what was read: it is consumed, and the connection free again, after the report.
+    Report(result, value, load);
+    Consume(connection_.get(), reply.size);
+    busy_ = false;
+    idle_since_ = Clock::now();
+    if (ReadSize(connection_.get()) > 0 || hop_.state != planner::HopState::kReady) {
+      Close(AttemptResult::kReset);
+    }
+  }
+
+  void Report(AttemptResult result, std::string_view value, const planner::Load& load) {
+    const auto elapsed = std::chrono::duration_cast<microseconds>(Clock::now() - begun_);
+    if (is_probe_) {
+      return pool_.listener_.ProbeEnded(
+          {.next_hop = hop_.name, .result = result, .elapsed = elapsed, .load = load});
+    }
+    pool_.attempts_.erase(key_);
+    pool_.listener_.AttemptEnded({.envelope = key_.envelope,
+                                  .attempt = key_.attempt,
+                                  .next_hop = hop_.name,
+                                  .result = result,
+                                  .elapsed = elapsed,
+                                  .load = load},
+                                 value);
+  }
+
+  NextHopPool& pool_;
+  Hop& hop_;
+  BufferEvent connection_;
+  Timer timer_;
+  bool up_ = false;
+  bool busy_ = false;
+  bool is_probe_ = false;
+  AttemptKey key_;
+  std::size_t need_ = 0;
+  Clock::time_point begun_;
+  Clock::time_point ends_;
+  Clock::time_point idle_since_;
+};
+
+NextHopPool::NextHopPool(event_base* base, Limits limits, AttemptListener& listener)
+    : base_(base),
+      limits_(limits),
+      reuse_within_(std::chrono::duration_cast<microseconds>(limits.idle * kIdleShare)),
+      listener_(listener),
+      upkeep_(base, [this] { Upkeep(); }) {
+  upkeep_.Arm(kUpkeep);
+}
+
+NextHopPool::~NextHopPool() = default;
+
+void NextHopPool::Apply(const config::Roster& roster) {
+  std::vector<Hop*> not_ready;
+  if (roster.full) {
+    for (auto& [name, hop] : hops_) hop->state = planner::HopState::kGone;
+  }
+  for (const config::RosterEntry& entry : roster.entries) {
+    std::unique_ptr<Hop>& hop = hops_[entry.hop.name];
+    if (!hop) {
+      hop = std::make_unique<Hop>();
+      hop->name = entry.hop.name;
+    }
+    const bool moved = !(hop->address == entry.address) && entry.address.size() > 0;
+    // A new process or a new place: connections to the old one lead nowhere.
+    if (moved || hop->started != entry.hop.started) CloseIdle(*hop, Clock::time_point::max());
+    if (moved) hop->address = entry.address;
+    hop->started = entry.hop.started;
+    hop->state = entry.hop.state;
+  }
+  for (auto& [name, hop] : hops_) {
+    if (hop->state != planner::HopState::kReady) not_ready.push_back(hop.get());
+  }
+  for (Hop* hop : not_ready) {
+    CloseIdle(*hop, Clock::time_point::max());
+    for (std::size_t i = hop->connections.size(); i-- > 0;) {
+      if (i < hop->connections.size()) hop->connections[i]->LeaveIfUnsent();
+    }
+  }
+}
+
+void NextHopPool::Deliver(const AttemptKey& key, const std::string& next_hop, std::string_view message,
+                          microseconds timeout) {
+  const auto found = hops_.find(next_hop);
+  if (found != hops_.end()) return Start(*found->second, &key, message, timeout);
+  listener_.AttemptEnded({.envelope = key.envelope,
+                          .attempt = key.attempt,
+                          .next_hop = next_hop,
+                          .result = AttemptResult::kCouldNotConnect},
+                         {});
+}
+
+void NextHopPool::Probe(const std::string& next_hop) {
+  std::string message;
+  resp::AppendCommand({"INFO", "load"}, message);
+  const auto found = hops_.find(next_hop);
+  if (found != hops_.end()) return Start(*found->second, nullptr, message, limits_.dial_timeout);
+  listener_.ProbeEnded({.next_hop = next_hop, .result = AttemptResult::kCouldNotConnect});
+}
+
+void NextHopPool::Start(Hop& hop, const AttemptKey* key, std::string_view message, microseconds timeout) {
+  const auto begun = Clock::now();
+  Connection* connection = hop.state == planner::HopState::kReady ? FindIdle(hop) : nullptr;
+  if (connection == nullptr && hop.state == planner::HopState::kReady) connection = Open(hop);
+  if (connection != nullptr) {
+    if (key != nullptr) attempts_[*key] = connection;
+    return connection->Begin(key, message, timeout, begun);
+  }
+  if (key == nullptr) {
+    return listener_.ProbeEnded({.next_hop = hop.name, .result = AttemptResult::kCouldNotConnect});
+  }
+  listener_.AttemptEnded({.envelope = key->envelope,
+                          .attempt = key->attempt,
+                          .next_hop = hop.name,
+                          .result = AttemptResult::kCouldNotConnect},
+                         {});
+}
+
+void NextHopPool::Abandon(const AttemptKey& key) {
+  const auto found = attempts_.find(key);
+  if (found != attempts_.end()) found->second->Close(AttemptResult::kAbandoned);
+}
+
+NextHopPool::Connection* NextHopPool::FindIdle(Hop& hop) {
+  Connection* best = nullptr;  // the last used: the others may reach their age
+  for (const auto& connection : hop.connections) {
+    if (!connection->idle()) continue;
+    if (best == nullptr || connection->idle_since() > best->idle_since()) best = connection.get();
+  }
+  const bool fresh = best != nullptr && Clock::now() - best->idle_since() < reuse_within_;
+  return fresh ? best : nullptr;
+}
+
+NextHopPool::Connection* NextHopPool::Open(Hop& hop) {
+  if (open_ >= limits_.connections && !EvictIdle()) {
+    Log("next hop not dialled", "too many connections are open");
+    return nullptr;
+  }
+  auto connection = std::make_unique<Connection>(*this, hop);
+  if (!connection->Dial()) return nullptr;
+  ++open_;
+  return hop.connections.emplace_back(std::move(connection)).get();
+}
+
+bool NextHopPool::EvictIdle() {
+  Connection* oldest = nullptr;
+  for (auto& [name, hop] : hops_) {
+    for (const auto& connection : hop->connections) {
+      if (!connection->idle()) continue;
+      if (oldest == nullptr || connection->idle_since() < oldest->idle_since()) oldest = connection.get();
+    }
+  }
+  if (oldest != nullptr) Remove(*oldest);
+  return oldest != nullptr;
+}
+
+std::unique_ptr<NextHopPool::Connection> NextHopPool::Remove(Connection& connection) {
+  auto& all = connection.hop().connections;
+  const auto found =
+      std::find_if(all.begin(), all.end(), [&connection](const auto& c) { return c.get() == &connection; });
+  std::unique_ptr<Connection> out = std::move(*found);
+  all.erase(found);
+  --open_;
+  return out;
+}
+
+void NextHopPool::CloseIdle(Hop& hop, Clock::time_point unused_since) {
+  for (std::size_t i = hop.connections.size(); i-- > 0;) {
+    Connection& connection = *hop.connections[i];
+    if (connection.idle() && connection.idle_since() <= unused_since) Remove(connection);
+  }
+}
+
+void NextHopPool::Upkeep() {
+  upkeep_.Arm(kUpkeep);
+  const auto unused_since = Clock::now() - reuse_within_;
+  for (auto it = hops_.begin(); it != hops_.end();) {
+    Hop& hop = *it->second;
+    CloseIdle(hop, unused_since);
+    const bool over = hop.state == planner::HopState::kGone && hop.connections.empty();
+    it = over ? hops_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/next_hop_pool.h
@@ -0,0 +1,91 @@
+// Connections to next hops: one delivery attempt at a time on each, so that no answer waits behind another.
+#ifndef POSTSPREAD_NET_NEXT_HOP_POOL_H_
+#define POSTSPREAD_NET_NEXT_HOP_POOL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "config/roster.h"
+#include "net/loop.h"
+#include "planner/types.h"
+#include "resp/frame.h"
+
+namespace postspread::net {
+
+struct AttemptKey {
+  planner::EnvelopeNumber envelope = 0;
+  int attempt = 0;
+  bool operator==(const AttemptKey&) const = default;
+};
+
+// Told how attempts and probes end: once each, possibly from within a call of the pool.
+class AttemptListener {
+ public:
+  // `value` is the whole bulk string of a served attempt; it holds during the call.
+  virtual void AttemptEnded(const planner::AttemptReport& report, std::string_view value) = 0;
+  virtual void ProbeEnded(const planner::ProbeReport& report) = 0;
+
+ protected:
+  ~AttemptListener() = default;
+};
+
+class NextHopPool {
+ public:
+  struct Limits {
+    std::chrono::microseconds dial_timeout{0};
+    std::chrono::microseconds idle{0};  // the next hop closes what stood idle for so long
+    std::size_t connections = 0;
+  };
+
+  NextHopPool(event_base* base, Limits limits, AttemptListener& listener);
+  ~NextHopPool();
+  NextHopPool(const NextHopPool&) = delete;
+  NextHopPool& operator=(const NextHopPool&) = delete;
+
+  // Takes discovery's word: addresses, restarts, and which next hops may get nothing new.
+  void Apply(const config::Roster& roster);
+
+  // Writes `message` to a connection to the next hop; the attempt ends within `timeout`.
+  void Deliver(const AttemptKey& key, const std::string& next_hop, std::string_view message,
+               std::chrono::microseconds timeout);
+  // Gives up an attempt by closing its connection.
+  void Abandon(const AttemptKey& key);
+  // Asks a next hop for its load report.
+  void Probe(const std::string& next_hop);
+
+ private:
+  class Connection;
+  struct Hop;
+  struct KeyHash {
+    std::size_t operator()(const AttemptKey& key) const {
+      return std::hash<std::uint64_t>()(key.envelope * 8 + static_cast<unsigned>(key.attempt));
+    }
+  };
+
+  Connection* Open(Hop& hop);
+  Connection* FindIdle(Hop& hop);
+  void Start(Hop& hop, const AttemptKey* key, std::string_view message, std::chrono::microseconds timeout);
+  void CloseIdle(Hop& hop, Clock::time_point unused_since);
+  void Upkeep();
+  bool EvictIdle();
+  std::unique_ptr<Connection> Remove(Connection& connection);
+
+  event_base* base_;
+  Limits limits_;
+  std::chrono::microseconds reuse_within_;  // a connection that stood idle for longer is not written to
+  AttemptListener& listener_;
+  std::unordered_map<std::string, std::unique_ptr<Hop>> hops_;
+  std::unordered_map<AttemptKey, Connection*, KeyHash> attempts_;
+  std::size_t open_ = 0;  // connections
+  Timer upkeep_;
+};
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_NEXT_HOP_POOL_H_
--- /dev/null
+++ b/src/net/sender_side.cpp
@@ -0,0 +1,300 @@
+#include "net/sender_side.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+#include "net/log.h"
+
+namespace postspread::net {
+namespace {
+
+constexpr std::size_t kMaxPending = 512;               // answers owed on one connection
+constexpr std::size_t kMaxUnread = 256 * 1024;         // bytes of answers that a client has not taken
+constexpr std::size_t kReadAhead = 128 * 1024;         // bytes read from a client before they are handled
+constexpr std::chrono::milliseconds kLinger{1'000};    // for a client to close after our last answer
+constexpr std::chrono::milliseconds kAcceptAgain{50};  // until accepting is tried again
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+class SenderSide::Connection final : public Recipient {
+ public:
+  Connection(SenderSide& side, evutil_socket_t fd)
+      : side_(side), linger_(side.base_, [this] { side_.Remove(this); }) {
+    const int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    connection_.reset(bufferevent_socket_new(side.base_, fd, BEV_OPT_CLOSE_ON_FREE));
+    if (!connection_) {
+      evutil_closesocket(fd);
+      throw std::bad_alloc();
+    }
+    bufferevent_setcb(
+        connection_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); },
+        [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
+        [](bufferevent*, short what, void* self) {
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) static_cast<Connection*>(self)->Gone();
+        },
+        this);
+    bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadAhead);
+    bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
+  }
+
+  // Tells of every envelope that is still owed an answer.
+  void Abandon() {
+    std::deque<Slot> slots = std::move(slots_);
+    slots_.clear();
+    base_ticket_ += slots.size();
+    for (const Slot& slot : slots) {
+      if (!slot.ready && slot.number) side_.intake_.SenderGone(*slot.number);
+    }
+  }
+
+  bool idle() const { return slots_.empty() && state_ == State::kOpen && Unwritten(connection_.get()) == 0; }
+  bool lingering() const { return state_ == State::kLingering; }
+
+  void Drain() {
+    if (state_ != State::kOpen) return;
+    Read();
+    CloseBetweenRequests();
+  }
+
+  // Recipient
+  void Serve(Ticket ticket, std::string_view value) override { Answer(ticket, value); }
+  void Defer(Ticket ticket, std::chrono::milliseconds retry_after) override {
+    if (retry_after.count() <= 0) return Answer(ticket, "-BUSY\r\n");
+    Answer(ticket, "-BUSY " + std::to_string(retry_after.count()) + "\r\n");
+  }
+  void Fail(Ticket ticket) override { Answer(ticket, "-ERR failed\r\n"); }
+
+ private:
+  enum class State {
+    kOpen,
+    kClosing,    // reads nothing more; closes once all is answered
+    kLingering,  // all is answered and our side is shut; what still comes is thrown away
+  };
+  struct Slot {
+    std::optional<planner::EnvelopeNumber> number;
+    bool ready = false;
+    std::string answer;  // while the answers before it are owed
+  };
+
+  void Read() {
+    if (state_ == State::kLingering) return Consume(connection_.get(), ReadSize(connection_.get()));
+    if (handling_) return;
+    handling_ = true;
+    // Each command is a slice of what was read; it is consumed once it has been handled.
+    while (state_ == State::kOpen && !Full()) {
+      const std::size_t size = ReadSize(connection_.get());
+      if (size < std::max<std::size_t>(1, need_)) break;
+      const std::string_view bytes =
+          need_ > 1 ? Peek(connection_.get(), need_) : PeekFirst(connection_.get());
+      const resp::Progress progress = resp::ParseCommand(bytes, command_);
+      if (progress == resp::Progress::kPartial) {
+        need_ = command_.need;
+        continue;
+      }
+      need_ = 0;
+      if (progress == resp::Progress::kBroken) {
+        Say(std::string("-ERR Protocol error: ") + command_.error + "\r\n");
+        state_ = State::kClosing;
+        break;
+      }
+      Handle();
+      Consume(connection_.get(), command_.size);
+    }
+    handling_ = false;
+    Flow();
+    CloseBetweenRequests();
+  }
+
+  void Handle() {
+    if (command_.count == 0) return Say("-ERR empty command\r\n");
+    const std::string_view verb = command_.parts[0];
+    if (verb == "PING") {
+      if (command_.count == 1)
+        return Say(side_.intake_.Ready() ? "+PONG\r\n" : "-LOADING not able to serve yet\r\n");
+      if (command_.count > 2) return Say("-ERR wrong number of arguments\r\n");
+      std::string echo;
+      resp::AppendBulk(command_.parts[1], echo);
+      return Say(std::move(echo));
+    }
+    resp::Request request;
+    if (const char* error = resp::DecodeRequest(command_, side_.vocabulary_, request)) {
+      return Say(std::string("-ERR ") + error + "\r\n");
+    }
+    const Ticket ticket = base_ticket_ + slots_.size();
+    slots_.emplace_back();
+    const planner::EnvelopeNumber number = side_.intake_.Take(
+        request.envelope, resp::Letter(command_.message(), request.extras, request.patience), *this, ticket);
+    if (ticket >= base_ticket_) slots_[ticket - base_ticket_].number = number;  // else answered already
+  }
+
+  // Answers a command that goes nowhere else.
+  void Say(std::string answer) {
+    slots_.emplace_back();
+    Answer(base_ticket_ + slots_.size() - 1, answer);
+  }
+
+  void Answer(Ticket ticket, std::string_view answer) {
+    if (ticket < base_ticket_ || ticket - base_ticket_ >= slots_.size()) return;
+    Slot& slot = slots_[ticket - base_ticket_];
+    if (slot.ready) return;
+    slot.ready = true;
+    if (ticket != base_ticket_) {
+      slot.answer = answer;
+      held_ += answer.size();
+      return;
+    }
+    Write(connection_.get(), answer);
+    Pop();
+    while (!slots_.empty() && slots_.front().ready) {
+      held_ -= slots_.front().answer.size();
+      Write(connection_.get(), slots_.front().answer);
+      Pop();
+    }
+    if (handling_) return;
+    // There may be room again. Not read from here: the answer is a step of the planner's, and what is read
+    // would go to the planner in the midst of its steps.
+    if (paused_) {
+      return bufferevent_trigger(connection_.get(), EV_READ,
+                                 BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    }
+    CloseBetweenRequests();
+  }
+
+  void Pop() {
+    slots_.pop_front();
+    ++base_ticket_;
+  }
+
+  bool Full() const {
+    return slots_.size() >= kMaxPending || held_ + Unwritten(connection_.get()) > kMaxUnread;
+  }
+
+  // Back-pressure: a client that does not take its answers, or is owed many, is not read from.
+  void Flow() {
+    const bool pause = state_ == State::kOpen && Full();
+    if (pause == paused_ || state_ == State::kLingering) return;
+    paused_ = pause;
+    if (pause) {
+      bufferevent_disable(connection_.get(), EV_READ);
+    } else {
+      bufferevent_enable(connection_.get(), EV_READ);
+    }
+  }
+
+  void Written() {
+    if (state_ == State::kOpen && paused_) return Read();
+    CloseBetweenRequests();
+  }
+
+  void CloseBetweenRequests() {
+    const bool closes = state_ == State::kClosing || (state_ == State::kOpen && side_.draining_);
+    if (!closes || !slots_.empty() || Unwritten(connection_.get()) > 0) return;
+    // Closed with bytes unread, the socket would be reset and the last answers with it: our side is shut, and
+    // the rest is read until the client closes too. Seen as answers lost at restarts.
+    state_ = State::kLingering;
+    shutdown(bufferevent_getfd(connection_.get()), SHUT_WR);
+    Consume(connection_.get(), ReadSize(connection_.get()));
+    bufferevent_enable(connection_.get(), EV_READ);
+    linger_.Arm(kLinger);
+  }
+
+  void Gone() { side_.Remove(this); }
+
+  SenderSide& side_;
+  BufferEvent connection_;
+  Timer linger_;
+  State state_ = State::kOpen;
+  bool handling_ = false;
+  bool paused_ = false;
+  std::size_t need_ = 0;
+  std::size_t held_ = 0;  // bytes of answers that wait for their turn
+  resp::Command command_;
+  Ticket base_ticket_ = 0;  // of the first slot
+  std::deque<Slot> slots_;  // the commands that are owed an answer, in order
+};
+
+SenderSide::SenderSide(event_base* base, const config::Address& listen, resp::Vocabulary vocabulary,
+                       std::size_t max_connections, Intake& intake)
+    : base_(base),
+      vocabulary_(std::move(vocabulary)),
+      max_connections_(max_connections),
+      intake_(intake),
+      accept_again_(base, [this] {
+        if (listener_) evconnlistener_enable(listener_.get());
+      }) {
+  listener_.reset(evconnlistener_new_bind(
+      base,
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<SenderSide*>(self)->Accept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, kBacklog, listen.get(),
+      static_cast<int>(listen.size())));
+  if (!listener_) throw std::runtime_error("can't listen on " + listen.text());
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
+    // Out of descriptors: trying again at once would spin.
+    evconnlistener_disable(listener);
+    static_cast<SenderSide*>(self)->accept_again_.Arm(kAcceptAgain);
+    Log("accept failed", evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+  });
+}
+
+SenderSide::~SenderSide() = default;
+
+void SenderSide::Accept(evutil_socket_t fd) {
+  if (connections_.size() >= max_connections_ && !MakeRoom()) {
+    evutil_closesocket(fd);
+    Log("connection turned away", "too many are open");
+    return;
+  }
+  connections_.push_back(std::make_unique<Connection>(*this, fd));
+}
+
+// Closes one connection that is between requests; its client opens another when it needs one.
+bool SenderSide::MakeRoom() {
+  const auto idle = std::find_if(connections_.begin(), connections_.end(),
+                                 [](const auto& c) { return c->idle() || c->lingering(); });
+  if (idle == connections_.end()) return false;
+  connections_.erase(idle);
+  return true;
+}
+
+void SenderSide::Remove(Connection* connection) {
+  const auto found = std::find_if(connections_.begin(), connections_.end(),
+                                  [connection](const auto& c) { return c.get() == connection; });
+  if (found == connections_.end()) return;
+  const std::unique_ptr<Connection> owned = std::move(*found);
+  connections_.erase(found);
+  owned->Abandon();
+}
+
+void SenderSide::Drain() {
+  draining_ = true;
+  AcceptWaiting();
+  listener_.reset();
+  accept_again_.Disarm();
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    Connection& connection = **it++;  // it may go away
+    connection.Drain();
+  }
+}
+
+// What the machine has accepted already has been taken: closing the listener now would reset it.
+void SenderSide::AcceptWaiting() {
+  const evutil_socket_t fd = evconnlistener_get_fd(listener_.get());
+  for (;;) {
+    const evutil_socket_t accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) return;
+    Accept(accepted);
+  }
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/sender_side.h
@@ -0,0 +1,87 @@
+// The sender side: takes clients' connections, reads their commands and answers them in order.
+#ifndef POSTSPREAD_NET_SENDER_SIDE_H_
+#define POSTSPREAD_NET_SENDER_SIDE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "envelope.h"
+#include "net/loop.h"
+#include "planner/types.h"
+#include "resp/request.h"
+
+namespace postspread::net {
+
+// Where the final answer of one envelope goes. A second protocol brings a Recipient of its own.
+class Recipient {
+ public:
+  using Ticket = std::uint64_t;  // which of the recipient's questions is answered
+
+  // `value` is a whole RESP bulk string, as the next hop gave it.
+  virtual void Serve(Ticket ticket, std::string_view value) = 0;
+  virtual void Defer(Ticket ticket, std::chrono::milliseconds retry_after) = 0;  // 0: no advice
+  virtual void Fail(Ticket ticket) = 0;
+
+ protected:
+  ~Recipient() = default;
+};
+
+// What the sender side hands its envelopes to.
+class Intake {
+ public:
+  // Whether envelopes can be taken in and served.
+  virtual bool Ready() const = 0;
+  // Takes an envelope; `recipient` gets its final answer, at once or later. Returns the envelope's number.
+  virtual planner::EnvelopeNumber Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
+                                       Recipient::Ticket ticket) = 0;
+  // The sender has gone: nobody waits for the answer any more, and the recipient is not called again.
+  virtual void SenderGone(planner::EnvelopeNumber number) = 0;
+
+ protected:
+  ~Intake() = default;
+};
+
+class SenderSide {
+ public:
+  // Throws std::runtime_error where the address can't be listened on.
+  SenderSide(event_base* base, const config::Address& listen, resp::Vocabulary vocabulary,
+             std::size_t max_connections, Intake& intake);
+  ~SenderSide();
+  SenderSide(const SenderSide&) = delete;
+  SenderSide& operator=(const SenderSide&) = delete;
+
+  // Stops accepting, takes what has been read so far, and closes every connection that owes no answer; each
+  // other one as soon as it owes none.
+  void Drain();
+  bool empty() const { return connections_.empty(); }
+  std::size_t size() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  using Connections = std::list<std::unique_ptr<Connection>>;
+
+  void Accept(evutil_socket_t fd);
+  void AcceptWaiting();
+  void Remove(Connection* connection);
+  bool MakeRoom();
+
+  event_base* base_;
+  resp::Vocabulary vocabulary_;
+  std::size_t max_connections_;
+  Intake& intake_;
+  bool draining_ = false;
+  Connections connections_;  // the longest unused first
+  Listener listener_;
+  Timer accept_again_;
+};
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_SENDER_SIDE_H_
--- /dev/null
+++ b/src/planner/planner.h
@@ -0,0 +1,85 @@
+// The decision module behind three calls: Pick, Report and Tick. Each returns at once with the steps that are
+// to be carried out at that moment, in order. There are no callbacks and there is no I/O; the caller owns the
+// clock and the sockets, the planner owns the module, its timers and the numbers of envelopes and attempts.
+#ifndef POSTSPREAD_PLANNER_PLANNER_H_
+#define POSTSPREAD_PLANNER_PLANNER_H_
+
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "envelope.h"
+#include "planner/types.h"
+#include "postspread/control.h"
+
+namespace postspread::planner {
+
+// The steps hold until the next call of the planner.
+using Steps = std::span<Step>;
+
+class Planner {
+ public:
+  // `wall` is the wall clock at `now`. Gatekeepers number a customer's periods by it, so it must agree
+  // between them; from then on only the steady clock counts, so that time never goes back.
+  Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now);
+
+  struct Picked {
+    EnvelopeNumber number = 0;
+    Steps steps;
+  };
+  // A request has come in; it is owed one final answer: a value, a Defer or a Fail.
+  Picked Pick(const Envelope& envelope, Clock::time_point now);
+
+  // Something came back. A served attempt ends its envelope: its value is the final answer.
+  Steps Report(ReportValue report, Clock::time_point now);
+
+  // Runs the timers that are due.
+  Steps Tick(Clock::time_point now);
+  // When Tick is next wanted; nothing: not at all. May have changed after each call.
+  std::optional<Clock::time_point> NextTick() const;
+
+ private:
+  struct Timer {
+    TimePoint due{0};
+    std::uint64_t order = 0;
+    std::uint64_t token = 0;
+    bool operator>(const Timer& other) const {
+      return due != other.due ? due > other.due : order > other.order;
+    }
+  };
+
+  TimePoint At(Clock::time_point now);
+  void Handle(const Event& event, TimePoint now);
+  Event ToEvent(AttemptReport&& report);
+  Event ToEvent(CounterReport&& report);
+  Event ToEvent(RosterReport&& report);
+  Event ToEvent(ProbeReport&& report);
+  Event ToEvent(SenderGone&& report);
+  void Take(postspread::Send&& action, TimePoint now);
+  void Take(postspread::Refuse&& action, TimePoint now);
+  void Take(postspread::Fail&& action, TimePoint now);
+  void Take(postspread::Cancel&& action, TimePoint now);
+  void Take(postspread::SetTimer&& action, TimePoint now);
+  void Take(postspread::CounterAdd&& action, TimePoint now);
+  void Take(postspread::Probe&& action, TimePoint now);
+  void Take(postspread::Subscribe&& action, TimePoint now);
+  void Take(postspread::Log&& action, TimePoint now);
+
+  std::chrono::microseconds wall_;
+  Clock::time_point start_;
+  TimePoint last_{0};
+  Controller controller_;
+  EnvelopeNumber next_number_ = 1;
+  std::uint64_t next_order_ = 0;
+  std::unordered_map<EnvelopeNumber, int> open_;  // envelopes that are owed an answer: attempts so far
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::vector<Action> actions_;
+  std::vector<Step> steps_;
+};
+
+}  // namespace postspread::planner
+
+#endif  // POSTSPREAD_PLANNER_PLANNER_H_
--- /dev/null
+++ b/src/planner/types.h
@@ -0,0 +1,129 @@
+// What goes into the planner and what comes out of it: plain values that name no type of the module.
+#ifndef POSTSPREAD_PLANNER_TYPES_H_
+#define POSTSPREAD_PLANNER_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace postspread::planner {
+
+using Clock = std::chrono::steady_clock;
+
+// Given out by the planner: a sender may use one id for several requests.
+using EnvelopeNumber = std::uint64_t;
+
+enum class HopState { kReady, kDraining, kGone };
+
+struct NextHop {
+  std::string name;
+  std::string zone;
+  std::string kind;
+  std::int64_t cell = 0;
+  HopState state = HopState::kReady;
+  double weight = 1.0;
+  std::chrono::milliseconds started{0};  // since the Unix epoch; 0: long ago
+};
+
+// A load report; what it does not hold is below 0.
+struct Load {
+  double outstanding = -1.0;
+  double queue = -1.0;
+  double utilization = -1.0;
+  double latency_ms = -1.0;
+  double per_second = -1.0;
+  double errors_per_second = -1.0;
+};
+
+// ---- Steps: to be carried out at once, in order.
+
+// Begins a delivery attempt. An envelope's attempts are numbered 0, 1, ... in the order of these steps.
+struct Deliver {
+  EnvelopeNumber envelope = 0;
+  int attempt = 0;
+  std::string next_hop;
+  std::chrono::microseconds timeout{0};
+};
+
+// Final answer: not done, and asking again is harmless.
+struct Defer {
+  EnvelopeNumber envelope = 0;
+  std::chrono::microseconds retry_after{0};  // 0: no advice
+};
+
+// Final answer: promises nothing.
+struct Fail {
+  EnvelopeNumber envelope = 0;
+};
+
+struct Abandon {
+  EnvelopeNumber envelope = 0;
+  int attempt = 0;
+};
+
+struct AskCounter {
+  std::string name;
+  double amount = 0.0;
+  std::chrono::microseconds life{0};  // of a new name
+};
+
+struct ProbeHop {
+  std::string next_hop;
+};
+
+struct Note {  // a line for the log
+  std::string line;
+};
+
+using Step = std::variant<Deliver, Defer, Fail, Abandon, AskCounter, ProbeHop, Note>;
+
+// ---- Reports: what came back.
+
+enum class AttemptResult { kServed, kError, kTurnedAway, kTimedOut, kCouldNotConnect, kReset, kAbandoned };
+
+// An attempt is over; told exactly once for each Deliver.
+struct AttemptReport {
+  EnvelopeNumber envelope = 0;
+  int attempt = 0;
+  std::string next_hop;
+  AttemptResult result = AttemptResult::kServed;
+  std::chrono::microseconds elapsed{0};
+  Load load{};
+};
+
+enum class CounterResult { kAdded, kTurnedAway, kUnreachable, kNoAnswer };  // kNoAnswer: may have been added
+
+// Told exactly once for each AskCounter, for one name in the order of its asks.
+struct CounterReport {
+  std::string name;
+  CounterResult result = CounterResult::kAdded;
+  double total = 0.0;
+  std::chrono::microseconds elapsed{0};
+};
+
+enum class RosterScope { kRemembered, kFull, kChanges };
+
+struct RosterReport {
+  RosterScope scope = RosterScope::kFull;
+  std::uint64_t index = 0;
+  std::vector<NextHop> next_hops;
+};
+
+struct ProbeReport {
+  std::string next_hop;
+  AttemptResult result = AttemptResult::kServed;
+  std::chrono::microseconds elapsed{0};
+  Load load{};
+};
+
+struct SenderGone {
+  EnvelopeNumber envelope = 0;
+};
+
+using ReportValue = std::variant<AttemptReport, CounterReport, RosterReport, ProbeReport, SenderGone>;
+
+}  // namespace postspread::planner
+
+#endif  // POSTSPREAD_PLANNER_TYPES_H_
--- /dev/null
+++ b/src/resp/frame.cpp
@@ -0,0 +1,199 @@
+#include "resp/frame.h"
+
+#include <charconv>
+#include <optional>
+
+namespace postspread::resp {
+namespace {
+
+constexpr std::size_t kMaxNumber = 16;  // digits of a length
+
+// Walks the lines and values of one message.
+class Cursor {
+ public:
+  explicit Cursor(std::string_view bytes) : bytes_(bytes) {}
+
+  // The rest of a line, without its end.
+  Progress Line(std::size_t most, std::string_view& line) {
+    const std::size_t end = bytes_.find("\r\n", at_);
+    if (end == std::string_view::npos) {
+      if (bytes_.size() - at_ > most) return Progress::kBroken;
+      need_ = bytes_.size() + 1;
+      return Progress::kPartial;
+    }
+    if (end - at_ > most) return Progress::kBroken;
+    line = bytes_.substr(at_, end - at_);
+    at_ = end + 2;
+    return Progress::kWhole;
+  }
+
+  // A value of known length with the line end after it.
+  Progress Value(std::size_t length, std::string_view& value) {
+    if (bytes_.size() - at_ < length + 2) {
+      need_ = at_ + length + 2;
+      return Progress::kPartial;
+    }
+    if (bytes_.substr(at_ + length, 2) != "\r\n") return Progress::kBroken;
+    value = bytes_.substr(at_, length);
+    at_ += length + 2;
+    return Progress::kWhole;
+  }
+
+  std::size_t at() const { return at_; }
+  std::size_t need() const { return need_; }
+
+ private:
+  std::string_view bytes_;
+  std::size_t at_ = 0;
+  std::size_t need_ = 0;
+};
+
+std::optional<long> ToLength(std::string_view digits) {
+  long value = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  if (error != std::errc() || end != digits.data() + digits.size() || digits.empty()) return std::nullopt;
+  return value;
+}
+
+Progress Broken(Command& out, const char* error) {
+  out.error = error;
+  return Progress::kBroken;
+}
+
+// One part of an array: a bulk string, null, or a simple value.
+Progress ParsePart(Cursor& cursor, Reply::Part& part) {
+  std::string_view line;
+  Progress progress = cursor.Line(kMaxLine, line);
+  if (progress != Progress::kWhole) return progress;
+  if (line.empty()) return Progress::kBroken;
+  if (line[0] == ':' || line[0] == '+') {
+    part.text = line.substr(1);
+    return Progress::kWhole;
+  }
+  if (line[0] != '$') return Progress::kBroken;
+  const std::optional<long> length = ToLength(line.substr(1));
+  if (length == -1) {
+    part.null = true;
+    return Progress::kWhole;
+  }
+  if (!length || *length < 0 || *length > static_cast<long>(kMaxValue)) return Progress::kBroken;
+  return cursor.Value(static_cast<std::size_t>(*length), part.text);
+}
+
+}  // namespace
+
+std::string_view Command::message() const { return {begin, size}; }
+
+Progress ParseCommand(std::string_view bytes, Command& out) {
+  out.count = out.size = out.need = 0;
+  out.begin = bytes.data();
+  if (bytes.empty()) {
+    out.need = 1;
+    return Progress::kPartial;
+  }
+  if (bytes[0] != '*') return Broken(out, "expected an array of bulk strings");
+  Cursor cursor(bytes);
+  std::string_view line;
+  std::optional<long> length;
+  Progress progress = cursor.Line(kMaxNumber, line);
+  if (progress == Progress::kPartial) {
+    out.need = cursor.need();
+    return progress;
+  }
+  if (progress == Progress::kWhole) length = ToLength(line.substr(1));
+  if (!length || *length < 0) return Broken(out, "invalid array length");
+  if (*length > static_cast<long>(kMaxParts)) return Broken(out, "too many arguments");
+  for (long i = 0; i < *length; ++i) {
+    if (cursor.at() < bytes.size() && bytes[cursor.at()] != '$') return Broken(out, "expected a bulk string");
+    progress = cursor.Line(kMaxNumber, line);
+    if (progress == Progress::kWhole) {
+      const std::optional<long> size = ToLength(line.substr(1));
+      if (!size || *size < 0) return Broken(out, "invalid bulk length");
+      if (*size > static_cast<long>(kMaxValue)) return Broken(out, "argument too long");
+      if (cursor.at() + static_cast<std::size_t>(*size) > kMaxCommand) return Broken(out, "command too long");
+      progress = cursor.Value(static_cast<std::size_t>(*size), out.parts[out.count]);
+    } else if (progress == Progress::kBroken) {
+      return Broken(out, "invalid bulk length");
+    }
+    if (progress == Progress::kBroken) return Broken(out, "bulk string without its end");
+    if (progress == Progress::kPartial) {
+      out.need = cursor.need();
+      return progress;
+    }
+    ++out.count;
+  }
+  out.size = cursor.at();
+  return Progress::kWhole;
+}
+
+Progress ParseReply(std::string_view bytes, Reply& out) {
+  out.count = out.size = out.need = 0;
+  out.text = out.first_raw = {};
+  if (bytes.empty()) {
+    out.need = 1;
+    return Progress::kPartial;
+  }
+  Cursor cursor(bytes);
+  const auto finish = [&](Progress progress) {
+    out.need = cursor.need();
+    out.size = cursor.at();
+    return progress;
+  };
+  std::string_view line;
+  Progress progress = cursor.Line(kMaxLine, line);
+  if (progress != Progress::kWhole) return finish(progress);
+  if (line.empty()) return Progress::kBroken;
+  out.text = line.substr(1);
+  switch (line[0]) {
+    case '+':
+      out.kind = Reply::Kind::kSimple;
+      return finish(Progress::kWhole);
+    case '-':
+      out.kind = Reply::Kind::kError;
+      return finish(Progress::kWhole);
+    case ':':
+      out.kind = Reply::Kind::kInteger;
+      return finish(Progress::kWhole);
+    case '$': {
+      const std::optional<long> length = ToLength(out.text);
+      out.kind = length == -1 ? Reply::Kind::kNull : Reply::Kind::kBulk;
+      if (length == -1) return finish(Progress::kWhole);
+      if (!length || *length < 0 || *length > static_cast<long>(kMaxValue)) return Progress::kBroken;
+      return finish(cursor.Value(static_cast<std::size_t>(*length), out.text));
+    }
+    case '*': {
+      const std::optional<long> length = ToLength(out.text);
+      out.kind = length == -1 ? Reply::Kind::kNull : Reply::Kind::kArray;
+      if (length == -1) return finish(Progress::kWhole);
+      if (!length || *length < 0 || *length > static_cast<long>(kMaxParts)) return Progress::kBroken;
+      for (long i = 0; i < *length; ++i) {
+        const std::size_t begin = cursor.at();
+        out.parts[out.count] = {};
+        progress = ParsePart(cursor, out.parts[out.count]);
+        if (progress != Progress::kWhole) return finish(progress);
+        if (i == 0) out.first_raw = bytes.substr(begin, cursor.at() - begin);
+        ++out.count;
+      }
+      return finish(Progress::kWhole);
+    }
+    default:
+      return Progress::kBroken;
+  }
+}
+
+void AppendBulk(std::string_view value, std::string& out) {
+  out += '$';
+  out += std::to_string(value.size());
+  out += "\r\n";
+  out += value;
+  out += "\r\n";
+}
+
+void AppendCommand(std::initializer_list<std::string_view> parts, std::string& out) {
+  out += '*';
+  out += std::to_string(parts.size());
+  out += "\r\n";
+  for (const std::string_view part : parts) AppendBulk(part, out);
+}
+
+}  // namespace postspread::resp
--- /dev/null
+++ b/src/resp/request.cpp
@@ -0,0 +1,164 @@
+#include "resp/request.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
+#include <utility>
+
+namespace postspread::resp {
+namespace {
+
+constexpr std::size_t kMaxExtras = 1024;            // bytes of names and values
+constexpr std::size_t kMaxId = 128;                 // bytes of a request's id
+constexpr std::uint64_t kCustomers = 1ULL << 33;    // customers are numbered below this
+constexpr long kMaxPatienceMs = 24L * 3600 * 1000;  // what waits longer has a fault in its clock
+
+template <typename T>
+bool ToNumber(std::string_view text, T& out) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+bool IsCustomer(std::string_view text) {
+  const auto is_hex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+  if (text.size() != 16 || !std::all_of(text.begin(), text.end(), is_hex)) return false;
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number, 16);
+  return number < kCustomers;
+}
+
+// Takes the next of the items that `separator` divides.
+std::string_view Next(std::string_view& rest, char separator) {
+  const std::size_t end = std::min(rest.find(separator), rest.size());
+  const std::string_view item = rest.substr(0, end);
+  rest.remove_prefix(std::min(rest.size(), end + 1));
+  return item;
+}
+
+}  // namespace
+
+Letter::Letter(std::string_view message, std::string_view extras, std::string_view patience)
+    : message_(message),
+      extras_at_(static_cast<std::size_t>(extras.data() - message.data())),
+      extras_size_(extras.size()),
+      patience_at_(static_cast<std::size_t>(patience.data() - message.data())),
+      patience_size_(patience.size()) {
+  length_at_ = message_.rfind('$', extras_at_) + 1;
+}
+
+void Letter::Render(std::chrono::milliseconds wait, std::string& out) const {
+  std::array<char, 24> digits;
+  const auto* digits_end = std::to_chars(digits.data(), digits.data() + digits.size(), wait.count()).ptr;
+  const std::string_view patience(digits.data(), static_cast<std::size_t>(digits_end - digits.data()));
+  const std::string_view message = message_;
+  out += message.substr(0, length_at_);
+  out += std::to_string(extras_size_ - patience_size_ + patience.size());
+  out += "\r\n";
+  out += message.substr(extras_at_, patience_at_ - extras_at_);
+  out += patience;
+  out += message.substr(patience_at_ + patience_size_);
+}
+
+const char* DecodeRequest(const Command& command, const Vocabulary& vocabulary, Request& out) {
+  const std::string_view verb = command.parts[0];
+  const bool is_write = verb == "API.WRITE";
+  if (!is_write && verb != "API.READ") return "unknown command";
+  if (command.count != (is_write ? 5U : 4U)) return "wrong number of arguments";
+  if (!IsCustomer(command.parts[1])) return "bad customer";
+  if (command.parts[2].empty() || command.parts[2].size() > kMaxId) return "bad id";
+  out.extras = command.parts[3];
+  if (out.extras.size() > kMaxExtras) return "names and values too long";
+  out.patience = {};
+  Envelope& envelope = out.envelope;
+  envelope = Envelope{.customer = command.parts[1], .is_write = is_write};
+
+  const Vocabulary::Class* cls = nullptr;
+  bool has_key = false, has_units = false, has_spread = false, has_first = false, has_retry = false;
+  std::string_view rest = out.extras;
+  while (!rest.empty()) {
+    const std::string_view item = Next(rest, ',');
+    const std::size_t equals = item.find('=');
+    if (equals == std::string_view::npos || equals == 0) return "bad names and values";
+    const std::string_view name = item.substr(0, equals), value = item.substr(equals + 1);
+    if (name == "c") {
+      if (cls != nullptr) return "name given twice";
+      const auto found = std::find_if(vocabulary.classes.begin(), vocabulary.classes.end(),
+                                      [value](const auto& c) { return c.name == value; });
+      if (found == vocabulary.classes.end()) return "unknown class";
+      cls = &*found;
+      envelope.class_name = value;
+    } else if (name == "t") {
+      if (!envelope.plan.empty()) return "name given twice";
+      if (std::find(vocabulary.plans.begin(), vocabulary.plans.end(), value) == vocabulary.plans.end()) {
+        return "unknown plan";
+      }
+      envelope.plan = value;
+    } else if (name == "d") {
+      if (!out.patience.empty()) return "name given twice";
+      long ms = 0;
+      if (!ToNumber(value, ms) || ms < 1 || ms > kMaxPatienceMs) return "bad d";
+      out.patience = value;
+      envelope.patience = std::chrono::milliseconds(ms);
+    } else if (name == "units") {
+      if (std::exchange(has_units, true)) return "name given twice";
+      if (!ToNumber(value, envelope.units) || !(envelope.units > 0) ||
+          envelope.units > vocabulary.max_units) {
+        return "bad units";
+      }
+    } else if (name == "spread") {
+      if (std::exchange(has_spread, true)) return "name given twice";
+      if (!ToNumber(value, envelope.spread) || envelope.spread < 1 ||
+          envelope.spread > vocabulary.gatekeepers) {
+        return "bad spread";
+      }
+    } else if (name == "first") {
+      if (std::exchange(has_first, true)) return "name given twice";
+      if (!ToNumber(value, envelope.first) || envelope.first < 0 ||
+          envelope.first >= vocabulary.gatekeepers) {
+        return "bad first";
+      }
+    } else if (name == "r") {
+      if (std::exchange(has_retry, true)) return "name given twice";
+      if (value != "0" && value != "1") return "bad r";
+      envelope.is_retry = value == "1";
+    } else if (name == "k") {
+      if (std::exchange(has_key, true)) return "name given twice";
+      if (value.empty()) return "bad k";
+    }
+  }
+  if (cls == nullptr) return "c is missing";
+  if (envelope.plan.empty()) return "t is missing";
+  if (out.patience.empty()) return "d is missing";
+  if (!has_units) return "units is missing";
+  if (!has_spread) return "spread is missing";
+  if (!has_first) return "first is missing";
+  if (cls->is_safe == is_write) return "wrong command for this class";
+  if (cls->is_keyed && !has_key) return "k is missing";
+  return nullptr;
+}
+
+planner::Load DecodeLoad(std::string_view text) {
+  planner::Load load;
+  const std::pair<std::string_view, double*> fields[] = {
+      {"inflight", &load.outstanding},  {"outstanding", &load.outstanding},
+      {"queue", &load.queue},           {"backlog", &load.queue},
+      {"util", &load.utilization},      {"utilization", &load.utilization},
+      {"latency_ms", &load.latency_ms}, {"recent_ms", &load.latency_ms},
+      {"qps", &load.per_second},        {"throughput", &load.per_second},
+      {"eps", &load.errors_per_second}, {"errors_per_s", &load.errors_per_second}};
+  while (!text.empty()) {
+    const std::string_view item = Next(text, ',');
+    const std::size_t equals = item.find('=');
+    if (equals == std::string_view::npos) continue;
+    double value = 0;
+    if (!ToNumber(item.substr(equals + 1), value) || !std::isfinite(value) || value < 0) continue;
+    for (const auto& [name, field] : fields) {
+      if (name == item.substr(0, equals)) *field = value;
+    }
+  }
+  return load;
+}
+
+}  // namespace postspread::resp
--- /dev/null
+++ b/src/resp/request.h
@@ -0,0 +1,60 @@
+// A client's command into an Envelope, and the form in which it is passed on to a next hop.
+#ifndef POSTSPREAD_RESP_REQUEST_H_
+#define POSTSPREAD_RESP_REQUEST_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "envelope.h"
+#include "planner/types.h"
+#include "resp/frame.h"
+
+namespace postspread::resp {
+
+// The names and bounds that a command is checked against.
+struct Vocabulary {
+  struct Class {
+    std::string name;
+    bool is_safe = true;    // asked for by API.READ; others by API.WRITE
+    bool is_keyed = false;  // must carry a key
+  };
+  std::vector<Class> classes;
+  std::vector<std::string> plans;
+  int gatekeepers = 1;
+  double max_units = 1.0;
+};
+
+// A command that outlives the buffer it came in: all of it as received, but for the time that it tells.
+class Letter {
+ public:
+  Letter() = default;
+  // `extras` and `patience` are slices of `message`; `patience` holds the digits of d.
+  Letter(std::string_view message, std::string_view extras, std::string_view patience);
+
+  void Render(std::chrono::milliseconds wait, std::string& out) const;
+  std::size_t size() const { return message_.size(); }
+
+ private:
+  std::string message_;
+  std::size_t length_at_ = 0;  // of the header of the extras, behind its '$'
+  std::size_t extras_at_ = 0, extras_size_ = 0;
+  std::size_t patience_at_ = 0, patience_size_ = 0;
+};
+
+struct Request {
+  Envelope envelope;          // slices of the command
+  std::string_view extras;    // the names and values
+  std::string_view patience;  // the digits of d in them
+};
+
+// Returns what is wrong with the command, or null where it is sound.
+const char* DecodeRequest(const Command& command, const Vocabulary& vocabulary, Request& out);
+
+// The load report of an answer, or of the end of an error line. Fields that are not known are skipped.
+planner::Load DecodeLoad(std::string_view text);
+
+}  // namespace postspread::resp
+
+#endif  // POSTSPREAD_RESP_REQUEST_H_
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,106 @@
+#include "settings.h"
+
+namespace postspread {
+namespace {
+
+using namespace json_read;
+
+ClassSettings DecodeClass(const json& from) {
+  ClassSettings out;
+  out.name = Text(from, "Name");
+  out.aim = Time(from, "Aim");
+  out.deadline = Time(from, "HardLimit");
+  out.repeat = Word<Repeat>(
+      from, "Effect", {{"safe", Repeat::kSafe}, {"keyed", Repeat::kKeyed}, {"unsafe", Repeat::kUnsafe}});
+  out.scope = WordOr(from, "DedupScope", Scope::kAll,
+                     {{"all", Scope::kAll}, {"zone", Scope::kZone}, {"cell", Scope::kCell}});
+  out.key_ttl = TimeOr(from, "KeyTtl");
+  out.stream = FlagOr(from, "Stream");
+  out.worth = NumberOr(from, "Importance", 1);
+  out.late_worth = NumberOr(from, "LateShare", 0);
+  return out;
+}
+
+PlanSettings DecodePlan(const json& from) {
+  PlanSettings out;
+  out.name = Text(from, "Name");
+  out.rate = NumberOr(from, "PerSecond", 0);
+  out.burst = NumberOr(from, "Depth", 0);
+  out.max_open = NumberOr(from, "AtOnce", 0);
+  out.ceiling_rate = NumberOr(from, "CapRate", 0);
+  out.ceiling_burst = NumberOr(from, "HardBurst", 0);
+  out.ceiling_slack = NumberOr(from, "CeilingSlack", 0);
+  out.price = NumberOr(from, "Pays", 1);
+  out.excess_worth = NumberOr(from, "ExcessWorth", 0);
+  out.excess_cost = NumberOr(from, "ExcessCost", 0);
+  return out;
+}
+
+}  // namespace
+
+Settings DecodeSettings(const json& from) {
+  if (!from.is_object()) Bad("member \"Info\" is not an object");
+  Settings out;
+  for (const json& entry : Array(from, "Classes")) out.classes.push_back(DecodeClass(entry));
+  for (const json& entry : Array(from, "Contracts")) out.plans.push_back(DecodePlan(entry));
+  if (Find(from, "Zones") != nullptr) {
+    for (const json& zone : Array(from, "Zones")) out.zones.push_back(ToText(zone, "Zones"));
+  }
+  out.zone = TextOr(from, "MyZone");
+  out.rank = static_cast<int>(IntegerOr(from, "Rank", 0));
+  out.group_size = static_cast<int>(IntegerOr(from, "GroupSize", 1));
+  out.roster_mode = WordOr(from, "MembershipMode", RosterMode::kPushed,
+                           {{"automatic", RosterMode::kPushed}, {"subscribe", RosterMode::kSubscribe}});
+  out.weights = WordOr(from, "Weights", WeightMeaning::kNone,
+                       {{"none", WeightMeaning::kNone},
+                        {"nominal", WeightMeaning::kNominal},
+                        {"rough", WeightMeaning::kRough},
+                        {"live", WeightMeaning::kLive}});
+  out.tick = TimeOr(from, "Tick");
+
+  const json& domain = Part(from, "Domain");
+  out.has_counter = FlagOr(domain, "SharedCounter");
+  out.counter_timeout = TimeOr(domain, "CountLimit");
+  out.counter_price = NumberOr(domain, "CallPrice", 0);
+  out.cost_after = FlagOr(domain, "CostAfter");
+  out.max_units = NumberOr(domain, "MaxUnits", 1);
+  out.meter_period = TimeOr(domain, "MeterPeriod");
+
+  const json& limits = Part(from, "Limits");
+  out.max_attempts = static_cast<int>(IntegerOr(limits, "MostTries", 1));
+  out.second_copies = FlagOr(limits, "SecondCopies");
+  out.can_cancel = FlagOr(limits, "Cancelling");
+  out.can_probe = FlagOr(limits, "Probes");
+  out.can_tell = FlagOr(limits, "MayTell");
+  out.retry_after = FlagOr(limits, "RetryAfter");
+  out.max_retry_after = TimeOr(limits, "MaxRetryAfter");
+  out.dial_timeout = TimeOr(limits, "DialTimeout");
+
+  const json& prices = Part(from, "Prices");
+  out.probe_price = NumberOr(prices, "Probe", 0);
+  out.zone_cross_price = NumberOr(prices, "CrossZone", 0);
+  out.waste_price = NumberOr(prices, "Waste", 0);
+  out.late_fail_price = NumberOr(prices, "LateFail", 0);
+
+  out.report_source = WordOr(
+      Part(from, "LoadReport"), "Source", ReportSource::kNone,
+      {{"none", ReportSource::kNone}, {"answers", ReportSource::kAnswers}, {"probe", ReportSource::kProbes}});
+
+  const json& safety = Part(from, "Safety");
+  out.answer_slack = TimeOr(safety, "AnswerSlack");
+  out.drain_grace = TimeOr(safety, "DrainGrace");
+  out.subscribe_within = TimeOr(safety, "AskWithin");
+  out.cold_share = NumberOr(safety, "ColdShare", 1);
+  out.warm_within = TimeOr(safety, "WarmWithin");
+  out.fall_multiple = NumberOr(safety, "FallMultiple", 0);
+  out.fall_window = TimeOr(safety, "Fall");
+
+  const json& goal = Part(from, "Goal");
+  out.goal_whole = NumberOr(goal, "Whole", 1);
+  out.goal_worst_window = NumberOr(goal, "WorstWindow", 0);
+  out.goal_worst_class = NumberOr(goal, "WorstClass", 0);
+  out.goal_worst_plan = NumberOr(goal, "WorstTenant", 0);
+  return out;
+}
+
+}  // namespace postspread
--- a/src/wire.h
+++ b/src/wire.h
@@ -5,21 +5,18 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "json_read.h"
 #include "postspread/control.h"
 
 namespace postspread::wire {
 
 // What was wrong with a line, in plain words.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using WireError = json_read::JsonError;
 
 struct BatchStart {
   TimePoint now{0};
