--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -278,9 +278,13 @@
 
 void SenderSide::Drain() {
   draining_ = true;
-  AcceptWaiting();
-  listener_.reset();
-  accept_again_.Disarm();
+  // Called again until nothing is owed: the listener is there the first time only. Without the check a
+  // SIGTERM with an answer owed was a crash.
+  if (listener_) {
+    AcceptWaiting();
+    listener_.reset();
+    accept_again_.Disarm();
+  }
   for (auto it = connections_.begin(); it != connections_.end();) {
     Connection& connection = **it++;  // it may go away
     connection.Drain();
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,116 @@
+// Configuration and lists: what is read, defaulted and refused.
+#include "config/config.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "json_read.h"
+
+namespace postspread::config {
+namespace {
+
+using nlohmann::json;
+
+json Sound() {
+  return json::parse(R"({"name":"n3","listen":"10.0.0.4:6379","discovery":"10.2.0.1:8500",
+    "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":256},"counter":"10.2.0.2:6400",
+    "known":{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"10.1.0.18:6379","zone":"a",
+      "type":"m2","group":3,"status":"Ready","weight":1.5,"since_ms":7,"later":1}]},
+    "settings":{"Later":1,"Classes":[{"Name":"lookup","Aim":5,"HardLimit":9,"Effect":"safe"}],
+      "Contracts":[{"Name":"team","PerSecond":2,"Depth":8}],"Domain":{"SharedCounter":true},
+      "Limits":{"ConnIdle":7000000}}})");
+}
+
+Config Read(const json& from, const std::map<std::string, std::string>& variables = {}) {
+  return Decode(from.dump(), [&](const char* name) {
+    const auto found = variables.find(name);
+    return found == variables.end() ? nullptr : found->second.c_str();
+  });
+}
+
+std::string Fault(const json& from) {
+  try {
+    Read(from);
+  } catch (const ConfigError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST_CASE("a whole configuration is read and unknown keys are skipped") {
+  const Config config = Read(Sound(), {{"ROUTER_NAME", "n4"}, {"ROUTER_LISTEN", "127.0.0.9:1"}});
+  CHECK(config.name == "n4");
+  CHECK(config.listen.text() == "127.0.0.9:1");
+  CHECK(config.discovery.text() == "10.2.0.1:8500");
+  CHECK(config.seed == 0x8c1f30d27a5be964);
+  CHECK(config.sockets == 256);
+  CHECK(config.hop_idle == std::chrono::seconds(7));
+  CHECK(config.max_open == 20'000);
+  REQUIRE(config.known.entries.size() == 1);
+  CHECK(config.known.index == 41);
+  CHECK(config.known.entries[0].hop.started == std::chrono::milliseconds(7));
+  CHECK(config.known.entries[0].address.text() == "10.1.0.18:6379");
+  CHECK(config.settings.plans.at(0).burst == 8);
+}
+
+TEST_CASE("what may be left out has a default") {
+  json from = Sound();
+  for (const char* key : {"limits", "known", "seed", "counter"}) from.erase(key);
+  from["settings"].erase("Limits");
+  from["settings"]["Domain"]["SharedCounter"] = false;
+  const Config config = Read(from);
+  CHECK(config.sockets == 1024);
+  CHECK(config.memory_mb == 192);
+  CHECK(config.hop_idle == std::chrono::seconds(30));
+  CHECK_FALSE(config.counter);
+  CHECK(config.known.entries.empty());
+}
+
+TEST_CASE("an error names the faulty key") {
+  const auto with = [](const char* pointer, json value) {
+    json from = Sound();
+    from[json::json_pointer(pointer)] = std::move(value);
+    return Fault(from);
+  };
+  CHECK(Fault(Sound()) == "");
+  CHECK(with("/name", "") == "\"name\" is missing");
+  CHECK(with("/listen", "10.0.0.4") == "\"listen\" is not ADDRESS:PORT: \"10.0.0.4\"");
+  CHECK(with("/discovery", "host:80") == "\"discovery\" is not ADDRESS:PORT: \"host:80\"");
+  CHECK(with("/counter", nullptr) == "\"counter\" is missing");
+  CHECK(with("/seed", "xyz") == "configuration: member \"seed\" is not a hex number");
+  CHECK(with("/limits/sockets", 4) == "limits: member \"sockets\" is below 32");
+  CHECK(with("/limits/memory_mb", "64") == "limits: member \"memory_mb\" is not a whole number");
+  CHECK(with("/known/endpoints/0/address", "x") == "known: member \"address\" is not ADDRESS:PORT: \"x\"");
+  CHECK(with("/known/endpoints/0/name", nullptr) == "known: missing member \"name\"");
+  CHECK(with("/settings/Classes/0/Aim", -1) == "settings: member \"Aim\" is out of range");
+  CHECK(with("/settings/Classes", json::array()) == "settings: member \"Classes\" is empty");
+  CHECK(with("/settings", nullptr) == "configuration: missing member \"settings\"");
+  CHECK(with("/settings/Limits/ConnIdle", 0) == "settings.Limits: member \"ConnIdle\" is below 1");
+  CHECK_THROWS_AS(Decode("{", [](const char*) { return nullptr; }), ConfigError);
+  CHECK_THROWS_WITH(Load([](const char*) { return nullptr; }), "ROUTER_CONFIG is not set");
+  CHECK_THROWS_WITH(Load([](const char*) { return "/nowhere"; }), "ROUTER_CONFIG: can't read /nowhere");
+}
+
+TEST_CASE("a next hop of unknown status gets nothing new") {
+  json list = Sound()["known"];
+  list["endpoints"][0]["status"] = "Warming";
+  CHECK(DecodeRoster(list).entries[0].hop.state == planner::HopState::kDraining);
+  list["endpoints"][0] = {{"name", "s-1"}, {"status", "Gone"}};  // one that is gone needs no address
+  CHECK(DecodeRoster(list).entries[0].hop.state == planner::HopState::kGone);
+  list["snapshot"] = false;
+  CHECK_FALSE(DecodeRoster(list).full);
+}
+
+TEST_CASE("addresses are numeric") {
+  CHECK(Address::Parse("127.0.0.1:80"));
+  CHECK(Address::Parse("[::1]:80"));
+  for (const char* text : {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+                           "localhost:80", "127.0.0.1:80x", "1:2:3:80"}) {
+    CHECK_FALSE(Address::Parse(text));
+  }
+}
+
+}  // namespace
+}  // namespace postspread::config
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,82 @@
+// The HTTP parser, whole, cut and given garbage.
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+
+#include "http/response.h"
+
+namespace postspread::http {
+namespace {
+
+// Feeds `bytes` in random pieces; returns how many were used.
+std::size_t FeedCut(ResponseParser& parser, std::string_view bytes, std::mt19937& random) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !parser.done() && !parser.broken()) {
+    const std::size_t size = std::min<std::size_t>(1 + random() % 9, bytes.size() - used);
+    used += parser.Feed(bytes.substr(used, size));
+  }
+  return used;
+}
+
+TEST_CASE("responses of each form are read however they are cut") {
+  const std::string forms[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nhello world",
+      "HTTP/1.1 200 OK\ncontent-length:11\n\nhello world",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=1\r\nhello\r\n6\r\n world\r\n0\r\nA: "
+      "b\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nhello world"};
+  std::mt19937 random(3);
+  for (const std::string& form : forms) {
+    for (int round = 0; round < 50; ++round) {
+      ResponseParser parser;
+      CHECK(FeedCut(parser, form + "HTTP", random) == form.size());
+      REQUIRE(parser.done());
+      CHECK(parser.status() == 200);
+      CHECK(parser.body() == "hello world");
+      CHECK_FALSE(parser.closes());
+    }
+  }
+}
+
+TEST_CASE("a body without a length ends with the connection") {
+  ResponseParser parser;
+  parser.Feed("HTTP/1.1 503 Busy\r\n\r\nlater");
+  CHECK_FALSE(parser.done());
+  parser.End();
+  REQUIRE(parser.done());
+  CHECK(parser.status() == 503);
+  CHECK(parser.body() == "later");
+  CHECK(parser.closes());
+}
+
+TEST_CASE("a cut response and one that is none are broken") {
+  ResponseParser parser;
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel");
+  parser.End();
+  CHECK(parser.broken());
+  for (const char* bytes : {"+PONG\r\n", "HTTP/1.1 abc\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
+    parser.Reset();
+    parser.Feed(bytes);
+    CHECK(parser.broken());
+  }
+  parser.Reset();
+  parser.Feed(std::string(20'000, 'x'));
+  CHECK(parser.broken());
+}
+
+TEST_CASE("random garbage is used up, ends or is broken") {
+  std::mt19937 random(5);
+  const std::string alphabet = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nchunked:;0123456789abcdef";
+  for (int round = 0; round < 5'000; ++round) {
+    std::string bytes = round % 2 == 0 ? "HTTP/1.1 200 OK\r\n" : "";
+    for (std::size_t i = random() % 80; i > 0; --i) bytes += alphabet[random() % alphabet.size()];
+    ResponseParser parser;
+    const std::size_t used = FeedCut(parser, bytes, random);
+    CHECK((used == bytes.size() || parser.done() || parser.broken()));
+  }
+}
+
+}  // namespace
+}  // namespace postspread::http
--- /dev/null
+++ b/tests/planner_test.cpp
@@ -0,0 +1,154 @@
+// The facade: steps out, reports in, and no other way between the network and the module.
+#include "planner/planner.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+namespace postspread::planner {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Settings Site(bool has_counter) {
+  Settings out;
+  ClassSettings read;
+  read.name = "lookup";
+  read.aim = seconds(1);
+  read.deadline = seconds(3);
+  out.classes = {read};
+  PlanSettings plan;
+  plan.name = "team";
+  plan.rate = 10;
+  plan.burst = 10;
+  out.plans = {plan};
+  out.has_counter = has_counter;
+  out.max_units = 4;
+  out.max_attempts = 4;
+  out.can_cancel = true;
+  out.second_copies = true;
+  out.retry_after = true;
+  out.max_retry_after = seconds(1);
+  return out;
+}
+
+struct Bench {
+  explicit Bench(bool has_counter = false) : planner(Site(has_counter), 1, seconds(1'000'000), now) {
+    RosterReport roster;
+    roster.next_hops = {{.name = "a", .zone = "z", .kind = "k"}, {.name = "b", .zone = "z", .kind = "k"}};
+    Put(planner.Report(std::move(roster), now));
+  }
+  void Put(Steps steps) { last.assign(steps.begin(), steps.end()); }
+  EnvelopeNumber Pick(double units = 1) {
+    const Planner::Picked picked = planner.Pick({.class_name = "lookup",
+                                                 .plan = "team",
+                                                 .customer = "0000000000000001",
+                                                 .patience = milliseconds(2000),
+                                                 .units = units},
+                                                now);
+    Put(picked.steps);
+    return picked.number;
+  }
+  void Report(ReportValue report) { Put(planner.Report(std::move(report), now)); }
+  // Runs the timers up to `until`, and stops at the first that has steps to carry out.
+  void TickUntil(Clock::time_point until) {
+    last.clear();
+    while (last.empty() && planner.NextTick() && *planner.NextTick() <= until) {
+      now = std::max(now, *planner.NextTick());
+      Put(planner.Tick(now));
+    }
+  }
+  template <typename T>
+  std::optional<T> Only() const {
+    if (last.size() != 1 || !std::holds_alternative<T>(last[0])) return std::nullopt;
+    return std::get<T>(last[0]);
+  }
+
+  Clock::time_point now{seconds(50)};
+  Planner planner;
+  std::vector<Step> last;
+};
+
+TEST_CASE("an envelope is delivered, and a failed attempt goes to another next hop") {
+  Bench bench;
+  const EnvelopeNumber number = bench.Pick();
+  const auto first = bench.Only<Deliver>();
+  REQUIRE(first);
+  CHECK(first->envelope == number);
+  CHECK(first->attempt == 0);
+  CHECK(first->timeout == milliseconds(2000));
+  bench.Report(
+      AttemptReport{number, 0, first->next_hop, AttemptResult::kCouldNotConnect, microseconds(9), {}});
+  const auto second = bench.Only<Deliver>();
+  REQUIRE(second);
+  CHECK(second->attempt == 1);
+  CHECK(second->next_hop != first->next_hop);
+  bench.Report(AttemptReport{number, 1, second->next_hop, AttemptResult::kServed, microseconds(9), {}});
+  CHECK(bench.last.empty());
+  CHECK(bench.Pick() != number);
+}
+
+TEST_CASE("the counter is asked once, and its answer opens the way") {
+  Bench bench(/*has_counter=*/true);
+  bench.Pick(2);
+  const auto ask = bench.Only<AskCounter>();
+  REQUIRE(ask);
+  CHECK(ask->amount == 2);
+  CHECK(ask->name.find("0000000000000001") == 0);
+  bench.Report(CounterReport{ask->name, CounterResult::kAdded, 2, microseconds(900)});
+  CHECK(bench.Only<Deliver>());
+}
+
+TEST_CASE("a full quota defers at once, and says when to come back") {
+  Bench bench(/*has_counter=*/true);
+  bench.Pick(4);
+  bench.Report(CounterReport{bench.Only<AskCounter>()->name, CounterResult::kAdded, 60, microseconds(900)});
+  const auto defer = bench.Only<Defer>();
+  REQUIRE(defer);
+  CHECK(defer->retry_after > microseconds(0));
+}
+
+TEST_CASE("an envelope without an answer ends before its sender gives up") {
+  Bench bench;
+  const auto begun = bench.now;
+  const EnvelopeNumber number = bench.Pick();
+  bool ended = false;
+  while (!ended && bench.planner.NextTick() && *bench.planner.NextTick() <= begun + seconds(3)) {
+    bench.TickUntil(begun + seconds(3));
+    for (const Step& step : bench.last) {
+      const auto* defer = std::get_if<Defer>(&step);
+      ended |= defer != nullptr && defer->envelope == number;
+    }
+  }
+  CHECK(ended);
+  CHECK(bench.now - begun <= milliseconds(2000));
+}
+
+TEST_CASE("a sender that has gone ends its attempts") {
+  Bench bench;
+  const EnvelopeNumber number = bench.Pick();
+  bench.Report(SenderGone{number});
+  const auto abandon = bench.Only<Abandon>();
+  REQUIRE(abandon);
+  CHECK(abandon->envelope == number);
+  bench.Report(AttemptReport{number, 0, "a", AttemptResult::kAbandoned, microseconds(9), {}});
+  CHECK(bench.last.empty());
+}
+
+TEST_CASE("each Tick ends, and the next one is wanted later") {
+  Bench bench;
+  REQUIRE(bench.planner.NextTick());
+  for (int i = 0; i < 20; ++i) {
+    const auto wanted = *bench.planner.NextTick();
+    bench.planner.Tick(wanted);
+    CHECK(*bench.planner.NextTick() > wanted);
+  }
+  const auto wanted = *bench.planner.NextTick();
+  bench.planner.Tick(wanted - seconds(9));  // a clock that went back changes nothing
+  CHECK(*bench.planner.NextTick() == wanted);
+}
+
+}  // namespace
+}  // namespace postspread::planner
--- /dev/null
+++ b/tests/resp_test.cpp
@@ -0,0 +1,205 @@
+// The RESP parsers and what a client's command is checked for.
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "resp/frame.h"
+#include "resp/request.h"
+
+namespace postspread::resp {
+namespace {
+
+using std::chrono::milliseconds;
+
+Vocabulary Words() {
+  return {.classes = {{"lookup", true, false}, {"order", false, true}},
+          .plans = {"team"},
+          .gatekeepers = 3,
+          .max_units = 4};
+}
+
+std::string Message(std::initializer_list<std::string_view> parts) {
+  std::string out;
+  AppendCommand(parts, out);
+  return out;
+}
+
+const char* const kCustomer = "00000000b4d65521";
+const char* const kExtras = "c=lookup,t=team,d=480,units=2,spread=3,first=1";
+
+std::string Read(std::string_view extras) { return Message({"API.READ", kCustomer, "9b1f", extras}); }
+
+// What is wrong with a whole message; empty: nothing.
+std::string Fault(const std::string& message) {
+  Command command;
+  REQUIRE(ParseCommand(message, command) == Progress::kWhole);
+  Request request;
+  const char* error = DecodeRequest(command, Words(), request);
+  return error == nullptr ? "" : error;
+}
+
+TEST_CASE("a command is read however it is cut, and asks for no more than it needs") {
+  const std::string message = Message({"API.WRITE", kCustomer, "9b1f",
+                                       "c=order,t=team,d=480,k=5c,units=1,spread=1,first=0", "a\r\nb"}) +
+                              "*1\r\n";
+  for (std::size_t cut = 0; cut <= message.size(); ++cut) {
+    Command command;
+    const Progress progress = ParseCommand(std::string_view(message).substr(0, cut), command);
+    if (cut < message.size() - 4) {
+      REQUIRE(progress == Progress::kPartial);
+      REQUIRE(command.need > cut);
+      REQUIRE(command.need <= message.size() - 4);
+    } else {
+      REQUIRE(progress == Progress::kWhole);
+      REQUIRE(command.count == 5);
+      REQUIRE(command.parts[4] == "a\r\nb");
+      REQUIRE(command.size == message.size() - 4);
+    }
+  }
+}
+
+TEST_CASE("what is no command loses the framing") {
+  const auto error = [](std::string_view bytes) {
+    Command command;
+    return ParseCommand(bytes, command) == Progress::kBroken ? std::string(command.error) : "";
+  };
+  CHECK(error("PING\r\n") == "expected an array of bulk strings");
+  CHECK(error("*x\r\n") == "invalid array length");
+  CHECK(error("*-1\r\n") == "invalid array length");
+  CHECK(error("*11111111111111111111") == "invalid array length");
+  CHECK(error("*9\r\n") == "too many arguments");
+  CHECK(error("*1\r\n:1\r\n") == "expected a bulk string");
+  CHECK(error("*1\r\n$-1\r\n") == "invalid bulk length");
+  CHECK(error("*1\r\n$65537\r\n") == "argument too long");
+  CHECK(error("*1\r\n$1\r\nabc") == "bulk string without its end");
+  CHECK(error("*2\r\n$65536\r\n" + std::string(65536, 'x') + "\r\n$65536\r\n") == "command too long");
+}
+
+TEST_CASE("replies are read however they are cut") {
+  const std::string message = "*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$25\r\nutil=0.61,latency_ms=14.5\r\n";
+  for (std::size_t cut = 0; cut < message.size(); ++cut) {
+    Reply reply;
+    REQUIRE(ParseReply(std::string_view(message).substr(0, cut), reply) == Progress::kPartial);
+    REQUIRE(reply.need > cut);
+  }
+  Reply reply;
+  REQUIRE(ParseReply(message, reply) == Progress::kWhole);
+  CHECK(reply.kind == Reply::Kind::kArray);
+  CHECK(reply.first_raw == "$5\r\nva\r\nl\r\n");
+  CHECK(reply.parts[1].null);
+  CHECK(DecodeLoad(reply.parts[2].text).utilization == Approx(0.61));
+  CHECK(reply.size == message.size());
+  REQUIRE(ParseReply("-BUSY 20\r\n", reply) == Progress::kWhole);
+  CHECK(reply.kind == Reply::Kind::kError);
+  CHECK(reply.text == "BUSY 20");
+  REQUIRE(ParseReply("$-1\r\n", reply) == Progress::kWhole);
+  CHECK(reply.kind == Reply::Kind::kNull);
+  CHECK(ParseReply("?\r\n", reply) == Progress::kBroken);
+  CHECK(ParseReply("*1\r\n*1\r\n", reply) == Progress::kBroken);
+  CHECK(ParseReply("$99999999\r\n", reply) == Progress::kBroken);
+}
+
+TEST_CASE("random garbage never reads past its end nor stalls") {
+  std::mt19937 random(17);
+  const std::string alphabet = "*$+-:0123456789\r\n\r\n\r\nAPIab=,";
+  for (int round = 0; round < 20'000; ++round) {
+    std::string bytes;
+    const std::size_t size = random() % 60;
+    for (std::size_t i = 0; i < size; ++i) bytes += alphabet[random() % alphabet.size()];
+    if (round % 2 == 0) bytes = Read(kExtras).replace(random() % 40, 1, bytes);
+    const std::vector<char> exact(bytes.begin(), bytes.end());  // so that a sanitizer sees each end
+    const std::string_view view(exact.data(), exact.size());
+    Command command;
+    const Progress progress = ParseCommand(view, command);
+    if (progress == Progress::kWhole) {
+      REQUIRE(command.size <= view.size());
+      Request request;
+      if (command.count > 0 && DecodeRequest(command, Words(), request) == nullptr) {
+        REQUIRE(request.envelope.units <= 4);
+      }
+    } else if (progress == Progress::kPartial) {
+      REQUIRE(command.need > view.size());
+    }
+    Reply reply;
+    const Progress answer = ParseReply(view, reply);
+    if (answer == Progress::kWhole) REQUIRE(reply.size <= view.size());
+    if (answer == Progress::kPartial) REQUIRE(reply.need > view.size());
+  }
+}
+
+TEST_CASE("a sound request becomes an envelope") {
+  const std::string message = Read("c=lookup,t=team,d=480,units=2.5,spread=3,first=1,r=1,later=x");
+  Command command;
+  REQUIRE(ParseCommand(message, command) == Progress::kWhole);
+  Request request;
+  REQUIRE(DecodeRequest(command, Words(), request) == nullptr);
+  CHECK(request.envelope.class_name == "lookup");
+  CHECK(request.envelope.plan == "team");
+  CHECK(request.envelope.customer == kCustomer);
+  CHECK(request.envelope.patience == milliseconds(480));
+  CHECK(request.envelope.units == 2.5);
+  CHECK(request.envelope.spread == 3);
+  CHECK(request.envelope.first == 1);
+  CHECK(request.envelope.is_retry);
+  CHECK_FALSE(request.envelope.is_write);
+}
+
+TEST_CASE("what is wrong with a request is said") {
+  CHECK(Fault(Read(kExtras)) == "");
+  CHECK(Fault(Message({"GET", "x"})) == "unknown command");
+  CHECK(Fault(Message({"API.READ", kCustomer, "9b1f"})) == "wrong number of arguments");
+  CHECK(Fault(Message({"API.READ", "0000000200000000", "9b1f", kExtras})) == "bad customer");
+  CHECK(Fault(Message({"API.READ", "b4d65521", "9b1f", kExtras})) == "bad customer");
+  CHECK(Fault(Message({"API.READ", kCustomer, "", kExtras})) == "bad id");
+  CHECK(Fault(Message({"API.WRITE", kCustomer, "1", kExtras, "b"})) == "wrong command for this class");
+  CHECK(Fault(Message({"API.WRITE", kCustomer, "1", "c=order,t=team,d=9,units=1,spread=1,first=0", "b"})) ==
+        "k is missing");
+  const std::vector<std::pair<std::string, std::string>> faults = {
+      {"", "c is missing"},
+      {"c=lookup,t=team,units=2,spread=3,first=1", "d is missing"},
+      {"c=lookup,t=team,d=0,units=2,spread=3,first=1", "bad d"},
+      {"c=lookup,t=team,d=-5,units=2,spread=3,first=1", "bad d"},
+      {"c=lookup,t=team,d=99999999999999999999,units=2,spread=3,first=1", "bad d"},
+      {"c=lookup,t=team,d=480,d=480,units=2,spread=3,first=1", "name given twice"},
+      {"c=lookup,t=gold,d=480,units=2,spread=3,first=1", "unknown plan"},
+      {"c=none,t=team,d=480,units=2,spread=3,first=1", "unknown class"},
+      {"c=lookup,t=team,d=480,units=nan,spread=3,first=1", "bad units"},
+      {"c=lookup,t=team,d=480,units=5,spread=3,first=1", "bad units"},
+      {"c=lookup,t=team,d=480,units=2,spread=4,first=1", "bad spread"},
+      {"c=lookup,t=team,d=480,units=2,spread=3,first=3", "bad first"},
+      {"c=lookup,t=team,d=480,units=2,spread=3", "first is missing"},
+      {"lookup", "bad names and values"},
+      {std::string(1100, 'x'), "names and values too long"}};
+  for (const auto& [extras, fault] : faults) CHECK(Fault(Read(extras)) == fault);
+}
+
+TEST_CASE("a letter passes on all as received but for the time that it tells") {
+  for (const std::string extras : {"d=5,c=order,t=team,k=5c,units=1,spread=1,first=0",
+                                   "c=order,t=team,k=d=5,units=1,spread=1,first=0,d=4800"}) {
+    const std::string message = Message({"API.WRITE", kCustomer, "$9", extras, "$3\r\nd=1"});
+    Command command;
+    REQUIRE(ParseCommand(message, command) == Progress::kWhole);
+    Request request;
+    REQUIRE(DecodeRequest(command, Words(), request) == nullptr);
+    const Letter letter(command.message(), request.extras, request.patience);
+    std::string out;
+    letter.Render(milliseconds(371), out);
+    std::string expected = extras;
+    expected.replace(extras.rfind(extras.front() == 'd' ? "d=5" : "d=4800") + 2,
+                     extras.front() == 'd' ? 1 : 4, "371");
+    CHECK(out == Message({"API.WRITE", kCustomer, "$9", expected, "$3\r\nd=1"}));
+  }
+}
+
+TEST_CASE("load reports are read by either set of names, and odd ones skipped") {
+  const planner::Load load = DecodeLoad("inflight=7,queue=2,utilization=0.61,recent_ms=x,eps=-1,new=3,,=");
+  CHECK(load.outstanding == 7);
+  CHECK(load.queue == 2);
+  CHECK(load.utilization == Approx(0.61));
+  CHECK(load.latency_ms < 0);
+  CHECK(load.errors_per_second < 0);
+}
+
+}  // namespace
+}  // namespace postspread::resp
