Let a server's own latency fade, so that one that was slow once is asked again

At fault: Cost in src/control.cpp weighs a server's average by its samples and never by their age; nothing asks a server again that looks slow, so nothing corrects it. Ruled out: ejections (none marked), reports (these fade in 1 s), the network code (nothing was sent to them).

Test: Servers.OneThatWasSlowOnceIsAskedAgainAfterAWhile, fails without the change.

The form kept is 2 spans, 2 s at least.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -57,6 +57,8 @@
 constexpr Duration kNoServerRetry{20'000};     // us until a request that found no server looks again
 constexpr Duration kMaxCountLife{60'000'000};  // us: the longest life that a count may be given
 constexpr double kReportLifeS = 1.0;           // s after which a load report says nothing any more
+constexpr double kLatencyLifeS = 2.0;  // s after which a server's own latency says nothing any more, or ...
+constexpr double kLatencyLife = 2.0;   // ... so many of the usual spans between two answers of one server
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
@@ -195,6 +197,7 @@
     bool listed = true;
     int open = 0;
     double latency = 0.0, samples = 0.0;  // s, averaged over answers
+    TimePoint sampled{0};                 // the last of them
     TimePoint heard{0};
     TimePoint oldest{0};         // sending of the first attempt since the last answer
     double reported_held = 0.0;  // by the last load report ...
@@ -552,11 +555,21 @@
     return set_.cold_share + (1 - set_.cold_share) * age;
   }
 
+  // How many answers a server's own latency still stands for. Guards against one that was slow once and is
+  // never asked again: its average would stay as it was, it would stand idle, and the rest would carry its
+  // load. Harm: one that stays slow is tried now and then.
+  double Known(const Server& s) const {
+    const double between = kTrafficS * static_cast<double>(up_.size()) / std::max(1e-3, rate_.sum);
+    const double life = std::max(kLatencyLifeS, kLatencyLife * between);
+    return s.samples * std::max(0.0, 1 - Seconds(now_ - s.sampled) / life);
+  }
+
   double Cost(const Server& s) {
     const auto zone = zones_.find(s.info.zone);
     const double usual = std::max(0.01, zone != zones_.end() ? zone->second : base_latency_);
+    const double samples = Known(s);
     const double latency =
-        (s.latency * s.samples + usual * kServerSamples / 2) / (s.samples + kServerSamples / 2);
+        (s.latency * samples + usual * kServerSamples / 2) / (samples + kServerSamples / 2);
     // A report that is old or never came says nothing: the usual load is taken, not none.
     const double trust = std::max(0.0, 1 - Seconds(now_ - s.reported) / kReportLifeS);
     const double reported = trust * s.reported_held + (1 - trust) * usual_held_;
@@ -734,21 +747,23 @@
       zone += (sample - zone) * (zone == 0 ? 1.0 : kFewShare);
     }
     if (e.outcome == Outcome::kOk) {
-      s.samples = std::min(kServerSamples, s.samples + 1);
-      s.latency += (Seconds(e.elapsed) - s.latency) / s.samples;
+      Sample(s, e.elapsed);
       s.failures = 0;
       if (now_ - s.ejected_until > kEjectMost) s.ejections = 0;
     } else if (late || (e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent)) {
-      if (late) {
-        s.samples = std::min(kServerSamples, s.samples + 1);
-        s.latency += (Seconds(e.elapsed) - s.latency) / s.samples;
-      }
+      if (late) Sample(s, e.elapsed);
       // Where a server answers this gateway less than once a second, one failure is all it can wait for.
       const double each = rate_.sum / kTrafficS / std::max<double>(1, up_.size());
       if (++s.failures >= std::clamp(std::ceil(each), 1.0, kEjectAfter)) Eject(s);
     }
   }
 
+  void Sample(Server& s, Duration elapsed) {
+    s.samples = std::min(kServerSamples, Known(s) + 1);
+    s.latency += (Seconds(elapsed) - s.latency) / s.samples;
+    s.sampled = now_;
+  }
+
   // Guards against servers that fail fast and so draw traffic: dead, refusing, or answering with errors.
   void Eject(Server& s) {
     s.failures = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -562,6 +562,38 @@
 }
 
 // Second copies once went out from the queue that they made longer.
+// A server that was slow in a bad moment once kept that average for good and stood idle from then on.
+TEST(Servers, OneThatWasSlowOnceIsAskedAgainAfterAWhile) {
+  Settings settings = Gateway::Plain();
+  settings.plans[0].rate = 0;
+  settings.classes[0].aim = seconds(10);
+  Gateway g(settings);
+  g.Servers({{"s1", "a"}, {"s2", "a"}});
+  RequestId id = 0;
+  // Serves so many requests; returns how many of them went to s1, which takes `slow`.
+  const auto serve = [&g, &id](int requests, Duration slow) {
+    int first = 0;
+    for (int i = 0; i < requests; ++i) {
+      g.Ask(++id, 0, "safe", seconds(9));
+      const std::string server = g.sends.back().server;
+      const Duration elapsed = server == "s1" ? slow : Duration(milliseconds(50));
+      first += server == "s1" ? 1 : 0;
+      g.Pass(elapsed);
+      g.Tell(OutcomeEvent{.id = id,
+                          .server = server,
+                          .outcome = Outcome::kOk,
+                          .elapsed = elapsed,
+                          .final = true,
+                          .load = {}});
+    }
+    return first;
+  };
+  EXPECT_GE(serve(40, milliseconds(700)), 1);
+  EXPECT_LE(serve(10, milliseconds(700)), 1);
+  serve(80, milliseconds(50));  // some four seconds, in which s1 has its average faded
+  EXPECT_GE(serve(40, milliseconds(50)), 5);
+}
+
 TEST(Overload, NoSecondCopiesFromAQueue) {
   for (const bool queue : {false, true}) {
     Settings settings = Gateway::Plain();
