Let a zone's usual latency fade too, so that a slow moment does not leave its servers idle

At fault: the averages fade towards zones_[zone], which is fed by answers from that zone alone and never ages, so a zone once slow is avoided for good; a failure counts as 2 s in it. Ruled out: the servers' own samples (their span, 2 s, had passed), ejections.

Now the zone's figure fades to plain service over the same span. Test: the parameter 'b' of SlowOnce, where the server is alone in its zone, fails without the change.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -208,6 +208,11 @@
     TimePoint back_since{0};  // return from an ejection: ramps up like a cold start
   };
 
+  struct Zone {
+    double latency = 0.0;  // s, of late; failures count as the aim
+    TimePoint sampled{0};
+  };
+
   void Do(Action action) { out_->push_back(std::move(action)); }
 
   double Random() {
@@ -558,16 +563,26 @@
   // How many answers a server's own latency still stands for. Guards against one that was slow once and is
   // never asked again: its average would stay as it was, it would stand idle, and the rest would carry its
   // load. Harm: one that stays slow is tried now and then.
-  double Known(const Server& s) const {
+  double Known(const Server& s) const { return s.samples * Fresh(s.sampled); }
+
+  // The share of a latency's weight that its age leaves.
+  double Fresh(TimePoint sampled) const {
     const double between = kTrafficS * static_cast<double>(up_.size()) / std::max(1e-3, rate_.sum);
     const double life = std::max(kLatencyLifeS, kLatencyLife * between);
-    return s.samples * std::max(0.0, 1 - Seconds(now_ - s.sampled) / life);
+    return std::max(0.0, 1 - Seconds(now_ - sampled) / life);
+  }
+
+  // What a zone's servers usually take. It fades too, to plain service: a zone that was slow once would else
+  // get nothing more that could tell otherwise, and the other zones would carry its load.
+  double UsualOf(const std::string& name) const {
+    const auto zone = zones_.find(name);
+    if (zone == zones_.end()) return std::max(0.01, base_latency_);
+    const double slower = std::max(0.0, zone->second.latency - base_latency_);
+    return std::max(0.01, zone->second.latency - slower * (1 - Fresh(zone->second.sampled)));
   }
 
   double Cost(const Server& s) {
-    const auto zone = zones_.find(s.info.zone);
-    const double usual = std::max(0.01, zone != zones_.end() ? zone->second : base_latency_);
-    const double samples = Known(s);
+    const double usual = UsualOf(s.info.zone), samples = Known(s);
     const double latency =
         (s.latency * samples + usual * kServerSamples / 2) / (samples + kServerSamples / 2);
     // A report that is old or never came says nothing: the usual load is taken, not none.
@@ -742,9 +757,11 @@
       usual_held_ += (s.reported_held - usual_held_) * kLatencyShare;
     }
     if (e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent && now_ != stall_end_) {
-      double& zone = zones_[s.info.zone];
+      Zone& zone = zones_[s.info.zone];
       const double sample = e.outcome == Outcome::kOk ? Seconds(e.elapsed) : Seconds(max_aim_);
-      zone += (sample - zone) * (zone == 0 ? 1.0 : kFewShare);
+      zone.latency = UsualOf(s.info.zone);
+      zone.latency += (sample - zone.latency) * (zone.sampled.count() == 0 ? 1.0 : kFewShare);
+      zone.sampled = now_;
     }
     if (e.outcome == Outcome::kOk) {
       Sample(s, e.elapsed);
@@ -947,10 +964,10 @@
   std::unordered_map<RequestId, Request> requests_;
   std::map<std::string, Customer> customers_;
   std::map<std::string, Server> servers_;
-  std::vector<Server*> up_;              // listed and up, in the order of ids
-  double warmth_ = 0.0;                  // theirs, summed
-  std::map<std::string, double> zones_;  // s: latency of late by zone, failures at the aim
-  double usual_held_ = 0.0;              // by load reports, all servers
+  std::vector<Server*> up_;  // listed and up, in the order of ids
+  double warmth_ = 0.0;      // theirs, summed
+  std::map<std::string, Zone> zones_;
+  double usual_held_ = 0.0;  // by load reports, all servers
   std::unordered_map<std::string, std::deque<Call>> calls_;
   Duration max_aim_{0};
   int ask_failures_ = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -562,13 +562,16 @@
 }
 
 // Second copies once went out from the queue that they made longer.
-// A server that was slow in a bad moment once kept that average for good and stood idle from then on.
-TEST(Servers, OneThatWasSlowOnceIsAskedAgainAfterAWhile) {
+// A server that was slow in a bad moment once kept that average for good and stood idle from then on; so did
+// all servers of a zone by the zone's average, alone in their zone or not.
+class SlowOnce : public testing::TestWithParam<const char*> {};
+INSTANTIATE_TEST_SUITE_P(Servers, SlowOnce, testing::Values("a", "b"));
+TEST_P(SlowOnce, IsAskedAgainAfterAWhile) {
   Settings settings = Gateway::Plain();
   settings.plans[0].rate = 0;
   settings.classes[0].aim = seconds(10);
   Gateway g(settings);
-  g.Servers({{"s1", "a"}, {"s2", "a"}});
+  g.Servers({{"s1", GetParam()}, {"s2", "a"}});
   RequestId id = 0;
   // Serves so many requests; returns how many of them went to s1, which takes `slow`.
   const auto serve = [&g, &id](int requests, Duration slow) {
