Count an answer by its class's plain time, so that shedding does not feed itself

At fault: CountOpen, StopTiming and Pressure in src/control.cpp take the mean over all classes; with shed at 1 only schedule-change gets through, whose plain service is twice that of calendar-read, and reads as a queue. Ruled out: slow servers alone (none was asked), the counter (answered throughout).

Now an answer counts by its class's plain time (a low quantile, which a jam does not move; the class means were tried first and failed the test, since a class that is all shed keeps its mean of the jam), in multiples of the traffic's mean. Test: Overload.EndsWhenServersAreIdleThoughOnlyLongRequestsGetThrough, fails without the change.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -37,6 +37,9 @@
 constexpr double kBaseAnswers = 5;       // requests in memory: fewer tell nothing of service
 constexpr double kBaseDown = 0.1;        // a sweep: plain service follows a lull within a second
 constexpr double kBaseUp = 0.0005;       // a sweep: and is forgotten over minutes
+constexpr double kPlainDown = 0.1;       // weight of one answer in a class's plain time if it is faster ...
+constexpr double kPlainUp = 0.01;        // ... or slower: settles where about a tenth are faster
+constexpr double kLengthMost = 4;        // how much longer or shorter than the mean a class may count
 constexpr double kBaseMost = 0.2;        // of the longest aim: what takes longer was learnt in a queue
 constexpr double kChanceRetry = 0.1;     // of the aim: when one refused by chance may come, still in time
 constexpr double kRetrySpread = 1;       // of a retry-after: clients refused together do not return in step
@@ -122,6 +125,7 @@
     for (auto& c : set_.classes) max_aim_ = std::max(max_aim_, c.aim);
     traffic_.assign(set_.classes.size() * set_.plans.size(), Fading{});
     class_latency_.assign(set_.classes.size(), 0.0);
+    class_plain_.assign(set_.classes.size(), 0.0);
   }
 
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
@@ -675,11 +679,25 @@
     open_ += change;
   }
 
+  // How long a request's class takes when nothing queues, as a multiple of the mean of the traffic. Guards
+  // against a shed that feeds itself: what is dear and long gets through alone, its plain service looks like
+  // a queue, and all else stays shed while servers idle. Harm: none seen; before a class is learnt it counts
+  // as the mean.
+  double Length(const Request& r) const {
+    double sum = 0, total = 0;
+    for (std::size_t i = 0; i < traffic_.size(); ++i) {
+      const double plain = class_plain_[i / set_.plans.size()];
+      if (plain > 0) sum += traffic_[i].sum * plain, total += traffic_[i].sum;
+    }
+    const double own = r.cls < 0 ? 0.0 : class_plain_[static_cast<std::size_t>(r.cls)];
+    return sum <= 0 || own <= 0 ? 1.0 : std::clamp(own * total / sum, 1 / kLengthMost, kLengthMost);
+  }
+
   // An attempt leaves the load figures: it was served or ended, or its aim passed.
-  void StopTiming(Attempt& a, bool counts) {
+  void StopTiming(const Request& r, Attempt& a, bool counts) {
     if (a.timed) CountOpen(-1);
     if (!std::exchange(a.timed, false) || !counts) return;
-    answered_.sum += 1;
+    answered_.sum += Length(r);
     rate_.Add(now_, 1.0, kTrafficS);
   }
 
@@ -712,7 +730,7 @@
     r.attempts[at].open = false;
     r.attempts[at].may_have_run = !(e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed ||
                                     e.outcome == Outcome::kNotSent);
-    StopTiming(r.attempts[at], r.attempts[at].may_have_run);
+    StopTiming(r, r.attempts[at], r.attempts[at].may_have_run);
     Customer* c = FindCustomer(r.customer);
     if (c != nullptr) c->open = std::max(0, c->open - 1);
     if (e.outcome == Outcome::kOk) {
@@ -720,6 +738,8 @@
       if (r.cls >= 0) {
         double& mean = class_latency_[static_cast<std::size_t>(r.cls)];
         mean += (s - mean) * (mean == 0 ? 1.0 : kLatencyShare);
+        double& plain = class_plain_[static_cast<std::size_t>(r.cls)];
+        plain += (s - plain) * (plain == 0 ? 1.0 : s < plain ? kPlainDown : kPlainUp);
       }
       if (c != nullptr && e.true_units > 0 && r.grant != Grant::kExcess && r.grant != Grant::kNone) {
         Owe(*c, e.true_units - r.units);
@@ -848,7 +868,7 @@
     Request& r = it->second;
     if (kind == kLateDue) {
       for (Attempt& a : r.attempts) {
-        if (now_ - a.sent >= Cls(r).aim) StopTiming(a, true);
+        if (now_ - a.sent >= Cls(r).aim) StopTiming(r, a, true);
       }
       // In overload what passed its aim makes room, unless clients come again unmarked and double the work.
       if (marked_ && r.stage == Stage::kOut && Pressure(Cls(r)) > kPressureHigh) return Ended(r);
@@ -978,7 +998,8 @@
   double inside_[2] = {kInsideFirst, kInsideRepeat};  // share of asks that find room
   double shed_ = 0.0;                                 // share of the traffic that is shed
   double base_latency_ = 0.0;
-  std::vector<double> class_latency_;
+  std::vector<double> class_latency_;  // s: the mean of late
+  std::vector<double> class_plain_;    // s: the fast tenth or so
   std::vector<Fading> traffic_;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace postspread {
@@ -111,13 +112,14 @@
     Tell(CounterEvent{name, result, total, milliseconds(3)});
   }
 
-  void End(std::size_t send, Outcome outcome, int attempt = 0, double true_units = 0) {
+  void End(std::size_t send, Outcome outcome, int attempt = 0, double true_units = 0,
+           Duration elapsed = milliseconds(50)) {
     OutcomeEvent e;
     e.id = sends[send].id;
     e.attempt = attempt;
     e.server = sends[send].server;
     e.outcome = outcome;
-    e.elapsed = milliseconds(50);
+    e.elapsed = elapsed;
     e.final = outcome == Outcome::kOk;
     e.true_units = true_units;
     Tell(e);
@@ -487,6 +489,45 @@
 
 // With nothing answered for long, work piles up: the cheap plan is shed before the dear one, and neither
 // wholly.
+// Once all but a dear class of long requests was shed, the plain service of these looked like a queue, and
+// the rest stayed shed for good while the servers idled.
+TEST(Overload, EndsWhenServersAreIdleThoughOnlyLongRequestsGetThrough) {
+  Settings settings = Gateway::Plain();
+  settings.plans[0].rate = 0;
+  settings.classes[2].worth = 3;
+  for (ClassSettings& cls : settings.classes) cls.deadline = seconds(8);
+  Gateway g(settings);
+  std::vector<std::tuple<TimePoint, std::size_t, Duration>> serving;  // when it ends, which Send, how long
+  RequestId id = 0;
+  // Some 20 requests a second, a quarter of them long; returns how many were refused.
+  const auto run = [&](Duration length, int slower) {
+    const std::size_t before = g.refused.size();
+    for (const TimePoint end = g.now + length; g.now < end; g.Pass(milliseconds(10))) {
+      if (g.now.count() % 50'000 == 0) {
+        const bool is_long = ++id % 4 == 0;
+        g.Ask(id, 1, is_long ? "keyed" : "safe", seconds(8));
+        const auto takes = milliseconds(is_long ? 350 : 100) * slower;
+        if (!g.sends.empty() && g.sends.back().id == id)
+          serving.emplace_back(g.now + takes, g.sends.size() - 1, takes);
+      }
+      for (auto it = serving.begin(); it != serving.end();) {
+        const auto [due, send, took] = *it;
+        if (due > g.now) {
+          ++it;
+          continue;
+        }
+        g.End(send, Outcome::kOk, 0, 0, took);
+        it = serving.erase(it);
+      }
+    }
+    return g.refused.size() - before;
+  };
+  EXPECT_EQ(run(seconds(5), 1), 0U);
+  EXPECT_GT(run(seconds(4), 8), 20U);
+  run(seconds(12), 1);
+  EXPECT_EQ(run(seconds(3), 1), 0U);
+}
+
 TEST(Overload, ShedsTheCheapFirst) {
   Settings settings = Gateway::Plain();
   settings.plans[0].price = 1;
