Ask discovery every 2 s, and log what may come with each request once a second at most

Read again against the protocol: what discovery has to tell counts as told 6 s later at the latest; a watch of 4 s with a second's patience and a new dial came near that behind a silent agent. Now 2 s and 0.5 s. Lines that a flood could bring with each request are held to one a second each.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -14,9 +14,9 @@
 
 // What a call that may wait has to tell counts as told 2 s after its wait: a short wait finds out soon that
 // an agent has gone silent.
-constexpr milliseconds kWait{4'000};
-constexpr milliseconds kOverdue{1'000};  // beyond the wait: the agent is silent
-constexpr milliseconds kRedial{100};     // a watch goes on only within 200 ms
+constexpr milliseconds kWait{2'000};
+constexpr milliseconds kOverdue{500};  // beyond the wait: the agent is silent
+constexpr milliseconds kRedial{100};   // a watch goes on only within 200 ms
 
 }  // namespace
 
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -13,4 +13,11 @@
   [[maybe_unused]] const ssize_t written = write(STDERR_FILENO, line.data(), line.size());
 }
 
+void RareLog::operator()(std::string_view event, std::string_view detail) {
+  const auto now = std::chrono::steady_clock::now();
+  if (now < next_) return;
+  next_ = now + std::chrono::seconds(1);
+  Log(event, detail);
+}
+
 }  // namespace postspread::net
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -2,6 +2,7 @@
 #ifndef POSTSPREAD_NET_LOG_H_
 #define POSTSPREAD_NET_LOG_H_
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,15 @@
 // One line: the program's name, the event's fixed wording, and what varies behind a colon.
 void Log(std::string_view event, std::string_view detail = {});
 
+// The same once a second at most, for what may come with every request.
+class RareLog {
+ public:
+  void operator()(std::string_view event, std::string_view detail = {});
+
+ private:
+  std::chrono::steady_clock::time_point next_{};
+};
+
 }  // namespace postspread::net
 
 #endif  // POSTSPREAD_NET_LOG_H_
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -4,7 +4,6 @@
 #include <optional>
 #include <utility>
 
-#include "net/log.h"
 #include "resp/request.h"
 
 namespace postspread::net {
@@ -109,7 +108,7 @@
         continue;
       }
       if (progress == resp::Progress::kBroken) {
-        Log("next hop's answer is malformed", hop_.name);
+        pool_.malformed_("next hop's answer is malformed", hop_.name);
         return Close(AttemptResult::kReset);
       }
       break;
@@ -137,7 +136,7 @@
       value = reply.first_raw;
       if (reply.count >= 3 && !reply.parts[2].null) load = resp::DecodeLoad(reply.parts[2].text);
     } else {
-      Log("next hop's answer is malformed", hop_.name);
+      pool_.malformed_("next hop's answer is malformed", hop_.name);
       return Close(AttemptResult::kReset);
     }
     timer_.Disarm();
@@ -275,7 +274,7 @@
 
 NextHopPool::Connection* NextHopPool::Open(Hop& hop) {
   if (open_ >= limits_.connections && !EvictIdle()) {
-    Log("next hop not dialled", "too many connections are open");
+    not_dialled_("next hop not dialled", "too many connections are open");
     return nullptr;
   }
   auto connection = std::make_unique<Connection>(*this, hop);
--- a/src/net/next_hop_pool.h
+++ b/src/net/next_hop_pool.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "config/roster.h"
+#include "net/log.h"
 #include "net/loop.h"
 #include "planner/types.h"
 #include "resp/frame.h"
@@ -83,6 +84,7 @@
   std::unordered_map<std::string, std::unique_ptr<Hop>> hops_;
   std::unordered_map<AttemptKey, Connection*, KeyHash> attempts_;
   std::size_t open_ = 0;  // connections
+  RareLog malformed_, not_dialled_;
   Timer upkeep_;
 };
 
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -10,8 +10,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "net/log.h"
-
 namespace postspread::net {
 namespace {
 
@@ -242,8 +240,9 @@
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
     // Out of descriptors: trying again at once would spin.
     evconnlistener_disable(listener);
-    static_cast<SenderSide*>(self)->accept_again_.Arm(kAcceptAgain);
-    Log("accept failed", evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    auto* side = static_cast<SenderSide*>(self);
+    side->accept_again_.Arm(kAcceptAgain);
+    side->accept_failed_("accept failed", evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
   });
 }
 
@@ -252,7 +251,7 @@
 void SenderSide::Accept(evutil_socket_t fd) {
   if (connections_.size() >= max_connections_ && !MakeRoom()) {
     evutil_closesocket(fd);
-    Log("connection turned away", "too many are open");
+    turned_away_("connection turned away", "too many are open");
     return;
   }
   connections_.push_back(std::make_unique<Connection>(*this, fd));
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "envelope.h"
+#include "net/log.h"
 #include "net/loop.h"
 #include "planner/types.h"
 #include "resp/request.h"
@@ -80,6 +81,7 @@
   Connections connections_;  // the longest unused first
   Listener listener_;
   Timer accept_again_;
+  RareLog turned_away_, accept_failed_;
 };
 
 }  // namespace postspread::net
