--- a/src/control.cpp
+++ b/src/control.cpp
@@ -739,7 +739,9 @@
         double& mean = class_latency_[static_cast<std::size_t>(r.cls)];
         mean += (s - mean) * (mean == 0 ? 1.0 : kLatencyShare);
         double& plain = class_plain_[static_cast<std::size_t>(r.cls)];
-        plain += (s - plain) * (plain == 0 ? 1.0 : s < plain ? kPlainDown : kPlainUp);
+        // While traffic is shed it only falls: what takes longer then was learnt in a queue.
+        const double up = shed_ > 0 ? 0.0 : kPlainUp;
+        plain += (s - plain) * (plain == 0 ? 1.0 : s < plain ? kPlainDown : up);
       }
       if (c != nullptr && e.true_units > 0 && r.grant != Grant::kExcess && r.grant != Grant::kNone) {
         Owe(*c, e.true_units - r.units);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -524,7 +524,7 @@
   };
   EXPECT_EQ(run(seconds(5), 1), 0U);
   EXPECT_GT(run(seconds(4), 8), 20U);
-  run(seconds(12), 1);
+  run(seconds(8), 1);
   EXPECT_EQ(run(seconds(3), 1), 0U);
 }
 
