Take no new command on a busy connection once draining, so that stopping always ends

At fault: SenderSide::Connection::Drain closed between requests only. Now what has been read is taken, nothing more is read, and the connection closes once all is answered; the client sends what was not read again elsewhere, as the protocol has it.

--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -60,6 +60,9 @@
   void Drain() {
     if (state_ != State::kOpen) return;
     Read();
+    // What has come is taken; nothing more is, or a client that always has one more request out would hold up
+    // the end. It sends what was not read again elsewhere once it sees the close.
+    if (state_ == State::kOpen && !Full()) state_ = State::kClosing;
     CloseBetweenRequests();
   }
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -319,6 +319,7 @@
     hop.Command();
     site.Terminate();
     while (!site.Refuses()) usleep(10'000);  // serves on for a while, then listens no more
+    client.Send(Read("three"));              // not read any more: left to be sent again elsewhere
     hop.Send(kValue);
     CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
     CHECK(client.Ended());
