Keep 10 ms of a request's time for its way, so that the last answer is not late

At fault: Planner::Pick told the module the whole patience, though the way in had used part of it. Ruled out: a broken rule (within the slack of 66 ms), a lost answer (each was answered).

Now the planner keeps 10 ms back. The planner test of the deadline fails without it.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -7,6 +7,10 @@
 namespace postspread::planner {
 namespace {
 
+// Of a sender's patience: what the way in has taken and the way back will take, across halls. Guards against
+// a final answer that leaves in time and arrives when the sender has given up.
+constexpr std::chrono::milliseconds kOnTheWay{10};
+
 Outcome ToOutcome(AttemptResult result) {
   switch (result) {
     case AttemptResult::kServed:
@@ -89,7 +93,7 @@
   event.class_name = envelope.class_name;
   event.plan = envelope.plan;
   event.customer = envelope.customer;
-  event.time_left = envelope.patience;
+  event.time_left = std::max(std::chrono::milliseconds(1), envelope.patience - kOnTheWay);
   event.units = envelope.units;
   event.spread = envelope.spread;
   event.first_gateway = envelope.first;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -78,7 +78,7 @@
   REQUIRE(first);
   CHECK(first->envelope == number);
   CHECK(first->attempt == 0);
-  CHECK(first->timeout == milliseconds(2000));
+  CHECK(first->timeout == milliseconds(1990));
   bench.Report(
       AttemptReport{number, 0, first->next_hop, AttemptResult::kCouldNotConnect, microseconds(9), {}});
   const auto second = bench.Only<Deliver>();
@@ -123,7 +123,7 @@
     }
   }
   CHECK(ended);
-  CHECK(bench.now - begun <= milliseconds(2000));
+  CHECK(bench.now - begun <= milliseconds(1990));  // the answer still has its way before it
 }
 
 TEST_CASE("a sender that has gone ends its attempts") {
