SIGHUP takes on new discovery and counter addresses instead of ending the program

Beside it src/config/config.cpp let ROUTER_DISCOVERY win always, and Gatekeeper held one counter and one discovery for good, so that a handler alone would have gone on asking at addresses that accept nothing. Calls on a name that still waits on the old counter stay there, since answers must come in the order of a name's calls; the old connection is closed once it owes nothing. Ruled out: asking the new discovery for changes since the old index, since its numbers may differ. Test: a process test with scripted partners, both addresses moved under a call, a wrong file, then SIGTERM.

--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -42,6 +42,7 @@
   bool stream = false;
   double worth = 1.0;       // of one request
   double late_worth = 0.0;  // share of the worth that an answer between aim and deadline earns
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct PlanSettings {
@@ -55,6 +56,7 @@
   double price = 1.0;          // factor of the worth
   double excess_worth = 0.0;   // share of the worth earned when sent on beyond the quota
   double excess_cost = 0.0;    // share of the worth paid when sent on beyond the quota
+  bool operator==(const PlanSettings&) const = default;
 };
 
 struct Settings {
@@ -101,6 +103,7 @@
   double goal_worst_window = 0.0;
   double goal_worst_class = 0.0;
   double goal_worst_plan = 0.0;
+  bool operator==(const Settings&) const = default;
 };
 
 // Load reports, as far as the site has them; what is absent is below 0.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -56,7 +56,7 @@
 
 }  // namespace
 
-Config Decode(std::string_view text, const Environment& environment) {
+Config Decode(std::string_view text, const Environment& environment, Discovery discovery) {
   const json from = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (from.is_discarded() || !from.is_object()) throw ConfigError("the configuration is not a JSON object");
   return Within("configuration", [&] {
@@ -64,7 +64,11 @@
     out.name = Choose(from, "name", environment, "ROUTER_NAME");
     if (out.name.empty()) throw ConfigError("\"name\" is missing");
     out.listen = ToAddress(Choose(from, "listen", environment, "ROUTER_LISTEN"), "listen");
-    out.discovery = ToAddress(Choose(from, "discovery", environment, "ROUTER_DISCOVERY"), "discovery");
+    const bool file_wins = discovery == Discovery::kFromFile && !TextOr(from, "discovery").empty();
+    out.discovery =
+        ToAddress(file_wins ? TextOr(from, "discovery")
+                            : Choose(from, "discovery", environment, "ROUTER_DISCOVERY"),
+                  "discovery");
     out.seed = ToSeed(from);
     const json& limits = Part(from, "limits");
     Within("limits", [&] {
@@ -90,14 +94,24 @@
   });
 }
 
-Config Load(const Environment& environment) {
+namespace {
+
+std::string ReadFile(const Environment& environment) {
   const char* path = environment("ROUTER_CONFIG");
   if (path == nullptr || *path == '\0') throw ConfigError("ROUTER_CONFIG is not set");
   std::ifstream file(path);
   std::ostringstream text;
   text << file.rdbuf();
   if (!file) throw ConfigError(std::string("ROUTER_CONFIG: can't read ") + path);
-  return Decode(text.str(), environment);
+  return text.str();
+}
+
+}  // namespace
+
+Config Load(const Environment& environment) { return Decode(ReadFile(environment), environment); }
+
+Config Reload(const Environment& environment) {
+  return Decode(ReadFile(environment), environment, Discovery::kFromFile);
 }
 
 }  // namespace postspread::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -42,8 +42,16 @@
 // Reads ROUTER_CONFIG and the variables beside it; a variable wins over the file's key. Throws ConfigError.
 Config Load(const Environment& environment);
 
+// The same while the program runs: the file has been replaced, and variables are as they were at the start.
+// So the file's `discovery` wins; the rest of the environment still does over the file.
+Config Reload(const Environment& environment);
+
+// Which of the two names discovery, where both do.
+enum class Discovery { kFromVariable, kFromFile };
+
 // The same from the file's text.
-Config Decode(std::string_view text, const Environment& environment);
+Config Decode(std::string_view text, const Environment& environment,
+              Discovery discovery = Discovery::kFromVariable);
 
 }  // namespace postspread::config
 
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -1,5 +1,6 @@
 #include "net/counter_client.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -78,6 +79,11 @@
   Write(connection_.get(), message);
 }
 
+bool CounterClient::Awaits(std::string_view name) const {
+  return std::any_of(calls_.begin(), calls_.end(),
+                     [name](const Call& call) { return !call.reported && call.name == name; });
+}
+
 void CounterClient::Event(short what) {
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     up_ = true;
@@ -93,7 +99,7 @@
   connection_.reset();
   up_ = false;
   timer_.Disarm();
-  if (std::exchange(was_up_, false)) Log("counter connection is lost", why);
+  if (std::exchange(was_up_, false) && !retired_) Log("counter connection is lost", why);
   std::deque<Call> calls = std::exchange(calls_, {});
   reported_ = 0;
   for (Call& call : calls) {
@@ -159,7 +165,7 @@
   upkeep_.Arm(kUpkeep);
   const auto now = Clock::now();
   if (!connection_) {
-    if (now - dialled_ >= kRedial) Dial();
+    if (now - dialled_ >= kRedial && !retired_) Dial();
     return;
   }
   if (!up_) {
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -32,6 +32,13 @@
 
   void Ask(planner::AskCounter ask);
   bool up() const { return up_; }
+  const config::Address& address() const { return address_; }
+
+  // Another address has taken this one's place: a connection that is lost is not dialled again.
+  void Retire() { retired_ = true; }
+  // Whether a call on `name`, or any call, is still to be reported.
+  bool Awaits(std::string_view name) const;
+  bool AwaitsAny() const { return reported_ < calls_.size(); }
 
  private:
   struct Call {
@@ -60,6 +67,7 @@
   BufferEvent connection_;
   bool up_ = false;
   bool was_up_ = true;  // so that only changes are logged
+  bool retired_ = false;
   Clock::time_point dialled_;
   Clock::time_point used_;
   std::uint64_t appended_ = 0;  // bytes handed to this connection
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -40,6 +40,13 @@
   timer_.Arm(dial_timeout_);
 }
 
+void DiscoveryWatch::MoveTo(config::Address address) {
+  address_ = std::move(address);
+  has_index_ = false;
+  connection_.reset();
+  Dial();
+}
+
 void DiscoveryWatch::Ask() {
   std::string target = "/api/targets";
   if (has_index_) {
@@ -77,7 +84,7 @@
     return Lost(error.what());
   }
   if (std::exchange(failing_, false)) Log("discovery answers again");
-  has_index_ = true;
+  heard_ = has_index_ = true;
   index_ = roster.index;
   // The next call goes out first: the watch goes on only if it comes at once.
   const bool closes = parser_.closes();
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -22,7 +22,11 @@
   DiscoveryWatch(const DiscoveryWatch&) = delete;
   DiscoveryWatch& operator=(const DiscoveryWatch&) = delete;
 
-  bool heard() const { return has_index_; }  // a list has come since the start
+  // Watches at another address from now on. The list there is asked for whole: its numbers may differ.
+  void MoveTo(config::Address address);
+  const config::Address& address() const { return address_; }
+
+  bool heard() const { return heard_; }  // a list has come since the start
 
  private:
   void Dial();
@@ -38,7 +42,8 @@
   OnRoster on_roster_;
   BufferEvent connection_;
   http::ResponseParser parser_;
-  bool has_index_ = false;
+  bool heard_ = false;
+  bool has_index_ = false;  // of this address
   std::uint64_t index_ = 0;
   bool failing_ = false;  // so that only changes are logged
   Timer timer_;           // the answer is overdue, or it is time to dial again
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds kSettle{1'000};     // for discovery and the counter to answer after the start
 constexpr milliseconds kKeepServing{500};  // after SIGTERM new connections go on coming for a while
 constexpr milliseconds kDrainCheck{20};    // between two looks whether all is answered
+constexpr milliseconds kRetireCheck{50};   // between two looks whether an old counter is done with
 constexpr std::size_t kOtherSockets =
     16;  // log, loop, listener, discovery, counter and what the library holds
 constexpr std::size_t kBytesPerMb = 1 << 20;
@@ -41,22 +42,21 @@
 
 Gatekeeper::Gatekeeper(event_base* base, const config::Config& config)
     : base_(base),
+      config_(config),
       planner_(config.settings, config.seed, WallNow(), Clock::now()),
       max_open_(config.max_open),
       max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
       drain_(base, [this] { DrainStage(); }),
+      retire_(base, [this] { CloseRetired(); }),
       pool_(base,
             {.dial_timeout = config.settings.dial_timeout,
              .idle = config.hop_idle,
              .connections = Sockets(config) / 2},
             *this),
       sender_side_(base, config.listen, ToVocabulary(config.settings), Sockets(config) / 2, *this) {
-  if (config.counter) {
-    counter_.emplace(base, *config.counter, config.settings.counter_timeout, config.settings.dial_timeout,
-                     static_cast<CounterListener&>(*this));
-  }
+  if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, [this](config::Roster roster) {
     const auto scope = roster.full ? planner::RosterScope::kFull : planner::RosterScope::kChanges;
@@ -67,7 +67,7 @@
 
 bool Gatekeeper::Ready() const {
   // An outage of the counter or of discovery must not keep a gatekeeper that has next hops from starting.
-  const bool connected = (!counter_ || counter_->up()) && discovery_->heard();
+  const bool connected = (counters_.empty() || counters_.back().up()) && discovery_->heard();
   return ready_hops_ > 0 && (connected || settled_);
 }
 
@@ -186,14 +186,49 @@
 void Gatekeeper::Do(planner::Abandon& step) { pool_.Abandon({step.envelope, step.attempt}); }
 
 void Gatekeeper::Do(planner::AskCounter& step) {
-  if (counter_) return counter_->Ask(std::move(step));
-  CounterAnswered({std::move(step.name), planner::CounterResult::kUnreachable, 0, microseconds(0)});
+  if (counters_.empty())
+    return CounterAnswered({std::move(step.name), planner::CounterResult::kUnreachable, 0, microseconds(0)});
+  // After a change of address: answers must come in the order of a name's calls, so a name that still waits
+  // on the old connection is asked for there; and the old one serves on until the new one is up.
+  for (CounterClient& counter : counters_) {
+    if (counter.Awaits(step.name)) return counter.Ask(std::move(step));
+  }
+  const auto up = std::find_if(counters_.rbegin(), counters_.rend(), [](const auto& c) { return c.up(); });
+  (up == counters_.rend() ? counters_.back() : *up).Ask(std::move(step));
 }
 
 void Gatekeeper::Do(planner::ProbeHop& step) { pool_.Probe(step.next_hop); }
 
 void Gatekeeper::Do(planner::Note& step) { Log("decisions", step.line); }
 
+void Gatekeeper::DialCounter(const config::Address& address) {
+  counters_.emplace_back(base_, address, config_.settings.counter_timeout, config_.settings.dial_timeout,
+                         static_cast<CounterListener&>(*this));
+}
+
+bool Gatekeeper::Reload(const config::Config& config) {
+  if (config.counter && !counters_.empty() && !(counters_.back().address() == *config.counter)) {
+    for (CounterClient& counter : counters_) counter.Retire();
+    DialCounter(*config.counter);
+    retire_.Arm(kRetireCheck);
+  }
+  if (!(discovery_->address() == config.discovery)) discovery_->MoveTo(config.discovery);
+  return config.name != config_.name || !(config.listen == config_.listen) ||
+         config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
+         config.settings != config_.settings || config.hop_idle != config_.hop_idle ||
+         config.max_open != config_.max_open;
+}
+
+// A counter that was left goes once it owes nothing and another is up in its place, or once it is lost.
+void Gatekeeper::CloseRetired() {
+  const bool replaced = counters_.back().up();
+  for (auto it = counters_.begin(); std::next(it) != counters_.end();) {
+    const bool over = !it->AwaitsAny() && (replaced || !it->up());
+    it = over ? counters_.erase(it) : std::next(it);
+  }
+  if (counters_.size() > 1) retire_.Arm(kRetireCheck);
+}
+
 void Gatekeeper::Drain() {
   if (std::exchange(drain_begun_, true)) return;
   Log("draining", "told to stop");
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,11 @@
   Gatekeeper(const Gatekeeper&) = delete;
   Gatekeeper& operator=(const Gatekeeper&) = delete;
 
+  // SIGHUP has come and `config` is sound: takes on its addresses of discovery and of the counter. What is
+  // under way, the list of next hops and all that was learnt stay. Returns whether it holds anything that only
+  // a restart can take on.
+  bool Reload(const config::Config& config);
+
   // SIGTERM has come: goes on for a while, then answers what was taken and ends the loop.
   void Drain();
 
@@ -62,8 +68,11 @@
   void Do(planner::ProbeHop& step);
   void Do(planner::Note& step);
   void DrainStage();
+  void DialCounter(const config::Address& address);
+  void CloseRetired();
 
   event_base* base_;
+  config::Config config_;
   planner::Planner planner_;
   std::size_t max_open_;
   std::size_t max_held_bytes_;
@@ -76,12 +85,13 @@
   Timer tick_;
   Timer settle_;
   Timer drain_;
+  Timer retire_;
   bool settled_ = false;
   bool drain_begun_ = false;
   std::size_t ready_hops_ = 0;
   std::unordered_map<std::string, bool> hops_;  // by name: ready
   NextHopPool pool_;
-  std::optional<CounterClient> counter_;
+  std::list<CounterClient> counters_;  // the last is the configuration's; those before it are being left
   SenderSide sender_side_;
   std::optional<DiscoveryWatch> discovery_;
 };
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -55,6 +55,17 @@
   CHECK(config.settings.plans.at(0).burst == 8);
 }
 
+TEST_CASE("at a reload the file's discovery wins over the variable") {
+  const Environment variables = [](const char* name) {
+    return std::string(name) == "ROUTER_DISCOVERY" ? "127.0.0.9:2" : nullptr;
+  };
+  json from = Sound();
+  CHECK(Decode(from.dump(), variables).discovery.text() == "127.0.0.9:2");
+  CHECK(Decode(from.dump(), variables, Discovery::kFromFile).discovery.text() == "10.2.0.1:8500");
+  from.erase("discovery");
+  CHECK(Decode(from.dump(), variables, Discovery::kFromFile).discovery.text() == "127.0.0.9:2");
+}
+
 TEST_CASE("what may be left out has a default") {
   json from = Sound();
   for (const char* key : {"limits", "known", "seed", "counter"}) from.erase(key);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -1,6 +1,7 @@
 // The real program as a process, among small scripted partners: each test plays discovery, the counter, the
 // next hops and a client by hand, and waits for events, never for time to pass.
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <spawn.h>
@@ -14,6 +15,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -156,7 +158,7 @@
 // The program with its partners. Time limits of the settings are far off, so that none runs out by chance.
 class Site {
  public:
-  explicit Site(int hops, json changes = json::object()) : hops_(static_cast<std::size_t>(hops)) {
+  explicit Site(int hops, json changes = json::object(), bool with_variables = false) : hops_(static_cast<std::size_t>(hops)) {
     Port free;
     port_ = free.number();
     free.Close();
@@ -181,15 +183,23 @@
     path_ = "process_test_" + std::to_string(getpid()) + "_" + std::to_string(port_) + ".json";
     std::ofstream(path_) << config_.dump();
     const std::string variable = "ROUTER_CONFIG=" + path_;
+    const std::string other = "ROUTER_DISCOVERY=" + discovery_.address();
     std::vector<char*> environment{const_cast<char*>(variable.c_str())};
+    if (with_variables) environment.push_back(const_cast<char*>(other.c_str()));
     for (char** e = environ; *e != nullptr; ++e) environment.push_back(*e);
     environment.push_back(nullptr);
     char* arguments[] = {const_cast<char*>(GATEKEEPER), nullptr};
-    REQUIRE(posix_spawn(&pid_, GATEKEEPER, nullptr, nullptr, arguments, environment.data()) == 0);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log().c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+                                     0600);
+    REQUIRE(posix_spawn(&pid_, GATEKEEPER, &actions, nullptr, arguments, environment.data()) == 0);
+    posix_spawn_file_actions_destroy(&actions);
   }
   ~Site() {
     if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
     unlink(path_.c_str());
+    unlink(log().c_str());
   }
   Site(const Site&) = delete;
 
@@ -238,6 +248,21 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
   void Terminate() { kill(pid_, SIGTERM); }
+  // Replaces the file, sends SIGHUP and waits for the log line that follows.
+  void Reload(const json& changes, const std::string& line) {
+    json config = config_;
+    config.merge_patch(changes);
+    std::ofstream(path_) << config.dump();
+    kill(pid_, SIGHUP);
+    for (int waited = 0; waited < kPatienceMs; waited += 10) {
+      std::ostringstream text;
+      text << std::ifstream(log()).rdbuf();
+      if (text.str().find(line) != std::string::npos) return;
+      usleep(10'000);
+    }
+    FAIL("no such line in the log: " + line);
+  }
+  std::string log() const { return path_ + ".log"; }
   Peer Client() {
     // The program listens as soon as it can: until then the port is refused.
     for (int i = 0; i < 2000; ++i) {
@@ -445,6 +470,45 @@
   CHECK(watch.Until("\r\n\r\n").find("GET /api/targets?since=41") == 0);
 }
 
+TEST_CASE("SIGHUP: the file's new addresses hold, what is under way goes on, a wrong file changes nothing") {
+  Site site(1, json::object(), /*with_variables=*/true);
+  site.Start(1);
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  site.calls().Command();
+  Port discovery, counter;
+  site.Reload({{"discovery", discovery.address()}, {"counter", counter.address()}},
+              "configuration read again: discovery " + discovery.address());
+  Peer watch = discovery.Accept();
+  CHECK(watch.Until("\r\n\r\n").find("GET /api/targets HTTP/1.1\r\n") == 0);
+  CHECK(site.watch().Ended());
+  Peer calls = counter.Accept();
+  site.calls().Send("$1\r\n1\r\n");  // the call under way still finds its answer
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  hop.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(site.calls().Ended());
+  client.Send(Read("two"));
+  CHECK(calls.Command().at(0) == "CNT.ADD");
+  calls.Send("$1\r\n2\r\n");
+  hop.Command();
+
+  site.Reload({{"discovery", "nowhere"}, {"counter", site.counter().address()}}, "the old one stays");
+  hop.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  client.Send(Read("three"));
+  calls.Command();
+  CHECK_FALSE(site.counter().Asked());
+  calls.Send("$1\r\n3\r\n");
+  hop.Command();
+  hop.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  site.Terminate();
+  client.Close();
+  CHECK(site.Wait() == 0);
+}
+
 TEST_CASE("a wrong configuration ends the program with 2") {
   Site site(0, {{"discovery", "nowhere"}});
   CHECK(site.Wait() == 2);
