End a counter connection at an unreadable answer; only crowding cuts the share that asks

Checked: a probe of what a lost connection had read: "$90", "*2", noise, or nothing behind an answer without a number that CounterClient::Take had let pass as one failed call (counter_client.cpp). Now Take and Read end the connection at the first byte that can't be right and dial again at once where the connection had served; frame.cpp no longer waits for a line whose first byte is wrong. In the module an ask that fails before its limit says nothing of crowding, and failures at one moment count as one.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -354,7 +354,12 @@
     if (found == calls_.end()) return;
     const Call call = found->second.front();
     const bool ok = e.result == CounterResult::kOk;
-    ask_share_ = std::clamp(ask_share_ * (ok ? kAskRise : kAskCut), kAskLeast, 1.0);
+    // Of too many asks speak only those turned away or out of time: what a lost connection or a spoilt answer
+    // fails at once says nothing of the counter's load, and what fails together counts as one failure.
+    const bool crowded =
+        e.result == CounterResult::kRefused ||
+        (e.result == CounterResult::kTimeout && e.elapsed + set_.tick >= set_.counter_timeout);
+    if (ok || crowded) ask_share_ = std::clamp(ask_share_ * (ok ? kAskRise : kAskCut), kAskLeast, 1.0);
     found->second.pop_front();
     if (found->second.empty()) calls_.erase(found);
     Customer* c = FindCustomer(call.customer);
@@ -381,7 +386,7 @@
   }
 
   void AskFailed(const Call& call, Customer* c, Request* r, CounterResult why) {
-    if (++ask_failures_ == kAskFailures) {
+    if (std::exchange(failed_at_, now_) != now_ && ++ask_failures_ == kAskFailures) {
       down_since_ = now_;
       next_check_ = now_ + kCheckBack;
       Do(Log{"counter: no answer, on local slices"});
@@ -979,7 +984,7 @@
 
   Settings set_;
   std::uint64_t random_;
-  TimePoint now_, start_, next_check_{0}, down_since_{0}, open_at_{0}, stall_end_{0};
+  TimePoint now_, start_, next_check_{0}, down_since_{0}, failed_at_{-1}, open_at_{0}, stall_end_{0};
   std::vector<Action>* out_ = nullptr;
   bool sweeping_ = false, marked_ = false;  // marked_: clients are seen to mark their repeats
 
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include "net/log.h"
@@ -19,6 +20,7 @@
 constexpr milliseconds kRedial{200};       // between two tries to connect
 constexpr milliseconds kSilence{1'000};    // without a word on what was asked: the connection counts as dead
 constexpr milliseconds kKeepInUse{2'000};  // the counter closes what stands idle for some 10 s
+constexpr std::size_t kMaxAnswer = 64;    // bytes of an answer that is still to come: a number, or a short line
 constexpr std::size_t kMaxCalls = 4096;    // unanswered calls that are kept
 constexpr std::int64_t kMaxLifeMs = 60'000;
 
@@ -102,6 +104,8 @@
   if (std::exchange(was_up_, false) && !retired_) Log("counter connection is lost", why);
   std::deque<Call> calls = std::exchange(calls_, {});
   reported_ = 0;
+  // At once where it has served: an unreadable answer now and then must not leave calls without a counter.
+  if (std::exchange(has_answered_, false) && !retired_) Dial();
   for (Call& call : calls) {
     Report(call, call.end <= written ? CounterResult::kNoAnswer : CounterResult::kUnreachable);
   }
@@ -115,6 +119,9 @@
     const std::string_view bytes = need_ > 1 ? Peek(connection_.get(), need_) : PeekFirst(connection_.get());
     const resp::Progress progress = resp::ParseReply(bytes, reply);
     if (progress == resp::Progress::kPartial) {
+      // No answer of the counter is an array or so long: what says it is can't be read. Waiting for the rest
+      // would fail every call behind it until the silence is noticed.
+      if (bytes.front() == '*' || reply.need > kMaxAnswer) return Lost("malformed answer");
       need_ = reply.need;
       continue;
     }
@@ -126,17 +133,24 @@
 
 void CounterClient::Take(const resp::Reply& reply) {
   using Kind = resp::Reply::Kind;
+  CounterResult result = CounterResult::kAdded;
+  double total = 0;
+  const std::string_view word = reply.text.substr(0, reply.text.find(' '));
+  if (reply.kind == Kind::kError && (word == "BUSY" || word == "ERR")) {
+    result = CounterResult::kTurnedAway;
+  } else if (calls_.front().name.empty()) {
+    if (reply.kind != Kind::kSimple) return Lost("malformed answer");  // to a PING
+  } else if ((reply.kind != Kind::kBulk && reply.kind != Kind::kInteger) || !ToNumber(reply.text, total) ||
+             !std::isfinite(total)) {
+    // No total to be read: the amount was added, and nothing more comes on this connection. Kept in use, it
+    // was a second of calls without an answer, and some more in which hardly any were made.
+    return Lost("malformed answer");
+  }
   Call call = std::move(calls_.front());
   calls_.pop_front();
   if (reported_ > 0) --reported_;
   used_ = Clock::now();
-  CounterResult result = CounterResult::kTurnedAway;  // "-BUSY", "-ERR": nothing was added
-  double total = 0;
-  const bool has_total = reply.kind == Kind::kBulk || reply.kind == Kind::kInteger;
-  if (has_total && ToNumber(reply.text, total))
-    result = CounterResult::kAdded;
-  else if (reply.kind != Kind::kError)
-    result = CounterResult::kNoAnswer;
+  has_answered_ = true;
   Consume(connection_.get(), reply.size);
   Report(call, result, total);
 }
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -66,6 +66,7 @@
   CounterListener& listener_;
   BufferEvent connection_;
   bool up_ = false;
+  bool has_answered_ = false;  // this connection
   bool was_up_ = true;  // so that only changes are logged
   bool retired_ = false;
   Clock::time_point dialled_;
--- a/src/resp/frame.cpp
+++ b/src/resp/frame.cpp
@@ -1,5 +1,6 @@
 #include "resp/frame.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -13,20 +14,29 @@
  public:
   explicit Cursor(std::string_view bytes) : bytes_(bytes) {}
 
-  // The rest of a line, without its end.
+  // The rest of a line, without its end. Broken at the first byte that can't be right: a line end that is not
+  // whole, or one byte too many.
   Progress Line(std::size_t most, std::string_view& line) {
-    const std::size_t end = bytes_.find("\r\n", at_);
-    if (end == std::string_view::npos) {
-      if (bytes_.size() - at_ > most) return Progress::kBroken;
+    const std::size_t end = bytes_.find_first_of("\r\n", at_);
+    if (std::min(end, bytes_.size()) - at_ > most) return Progress::kBroken;
+    if (end == std::string_view::npos || (end + 1 == bytes_.size() && bytes_[end] == '\r')) {
       need_ = bytes_.size() + 1;
       return Progress::kPartial;
     }
-    if (end - at_ > most) return Progress::kBroken;
+    if (bytes_.substr(end, 2) != "\r\n") return Progress::kBroken;
     line = bytes_.substr(at_, end - at_);
     at_ = end + 2;
     return Progress::kWhole;
   }
 
+  // The line of an answer: its first byte tells its kind, and how long it may be.
+  Progress Header(std::string_view kinds, std::string_view& line) {
+    if (at_ == bytes_.size()) return Line(kMaxLine, line);
+    const char kind = bytes_[at_];
+    if (kinds.find(kind) == std::string_view::npos) return Progress::kBroken;
+    return Line(kind == '$' || kind == '*' ? kMaxNumber : kMaxLine, line);
+  }
+
   // A value of known length with the line end after it.
   Progress Value(std::size_t length, std::string_view& value) {
     if (bytes_.size() - at_ < length + 2) {
@@ -63,14 +73,12 @@
 // One part of an array: a bulk string, null, or a simple value.
 Progress ParsePart(Cursor& cursor, Reply::Part& part) {
   std::string_view line;
-  Progress progress = cursor.Line(kMaxLine, line);
+  Progress progress = cursor.Header(":+$", line);
   if (progress != Progress::kWhole) return progress;
-  if (line.empty()) return Progress::kBroken;
   if (line[0] == ':' || line[0] == '+') {
     part.text = line.substr(1);
     return Progress::kWhole;
   }
-  if (line[0] != '$') return Progress::kBroken;
   const std::optional<long> length = ToLength(line.substr(1));
   if (length == -1) {
     part.null = true;
@@ -140,9 +148,8 @@
     return progress;
   };
   std::string_view line;
-  Progress progress = cursor.Line(kMaxLine, line);
+  Progress progress = cursor.Header("+-:$*", line);
   if (progress != Progress::kWhole) return finish(progress);
-  if (line.empty()) return Progress::kBroken;
   out.text = line.substr(1);
   switch (line[0]) {
     case '+':
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -100,6 +100,14 @@
   CHECK(ParseReply("$99999999\r\n", reply) == Progress::kBroken);
 }
 
+TEST_CASE("a reply that can't be read ends at its first bad byte") {
+  for (const char* bytes : {"~", "\r", "-ERR\n", "+a\rb", "$123456789012345678", "*3\r\n~", "*1\r\n$2\r\nabcd"}) {
+    Reply reply;
+    INFO(bytes);
+    CHECK(ParseReply(bytes, reply) == Progress::kBroken);
+  }
+}
+
 TEST_CASE("random garbage never reads past its end nor stalls") {
   std::mt19937 random(17);
   const std::string alphabet = "*$+-:0123456789\r\n\r\n\r\nAPIab=,";
