Keep the counter's connection at a late total, and cut the asking share once for one crowding

Calls now say themselves whether they are PINGs. Now what was asked before the last cut does not cut again. Ruled out: shedding (none), held requests, the budget of further attempts (full).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -355,11 +355,14 @@
     const Call call = found->second.front();
     const bool ok = e.result == CounterResult::kOk;
     // Of too many asks speak only those turned away or out of time: what a lost connection or a spoilt answer
-    // fails at once says nothing of the counter's load, and what fails together counts as one failure.
+    // fails at once says nothing of the counter's load. What was asked before the last cut tells of the same
+    // crowd: cut for each of them, the share fell to its least at every crowd, and stayed there for seconds.
     const bool crowded =
         e.result == CounterResult::kRefused ||
         (e.result == CounterResult::kTimeout && e.elapsed + set_.tick >= set_.counter_timeout);
-    if (ok || crowded) ask_share_ = std::clamp(ask_share_ * (ok ? kAskRise : kAskCut), kAskLeast, 1.0);
+    const bool cut = crowded && call.asked >= cut_at_;
+    if (cut) cut_at_ = now_;
+    if (ok || cut) ask_share_ = std::clamp(ask_share_ * (ok ? kAskRise : kAskCut), kAskLeast, 1.0);
     found->second.pop_front();
     if (found->second.empty()) calls_.erase(found);
     Customer* c = FindCustomer(call.customer);
@@ -984,7 +987,7 @@
 
   Settings set_;
   std::uint64_t random_;
-  TimePoint now_, start_, next_check_{0}, down_since_{0}, failed_at_{-1}, open_at_{0}, stall_end_{0};
+  TimePoint now_, start_, next_check_{0}, down_since_{0}, failed_at_{-1}, cut_at_{0}, open_at_{0}, stall_end_{0};
   std::vector<Action>* out_ = nullptr;
   bool sweeping_ = false, marked_ = false;  // marked_: clients are seen to mark their repeats
 
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -77,7 +77,8 @@
 void CounterClient::Send(std::string_view message, std::string name) {
   appended_ += message.size();
   used_ = Clock::now();
-  calls_.push_back({.name = std::move(name), .begun = used_, .end = appended_});
+  const bool is_ping = name.empty();
+  calls_.push_back({.name = std::move(name), .begun = used_, .end = appended_, .is_ping = is_ping});
   Write(connection_.get(), message);
 }
 
@@ -138,8 +139,8 @@
   const std::string_view word = reply.text.substr(0, reply.text.find(' '));
   if (reply.kind == Kind::kError && (word == "BUSY" || word == "ERR")) {
     result = CounterResult::kTurnedAway;
-  } else if (calls_.front().name.empty()) {
-    if (reply.kind != Kind::kSimple) return Lost("malformed answer");  // to a PING
+  } else if (calls_.front().is_ping) {
+    if (reply.kind != Kind::kSimple) return Lost("malformed answer");
   } else if ((reply.kind != Kind::kBulk && reply.kind != Kind::kInteger) || !ToNumber(reply.text, total) ||
              !std::isfinite(total)) {
     // No total to be read: the amount was added, and nothing more comes on this connection. Kept in use, it
@@ -156,7 +157,7 @@
 }
 
 void CounterClient::Report(Call& call, CounterResult result, double total) {
-  if (std::exchange(call.reported, true) || call.name.empty()) return;
+  if (std::exchange(call.reported, true) || call.is_ping) return;
   const auto elapsed = duration_cast<microseconds>(Clock::now() - call.begun);
   listener_.CounterAnswered({std::move(call.name), result, total, elapsed});
 }
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -42,9 +42,10 @@
 
  private:
   struct Call {
-    std::string name;  // empty: a PING that keeps the connection in use
+    std::string name;  // empty: a PING that keeps the connection in use; or reported
     Clock::time_point begun;
     std::uint64_t end = 0;  // bytes written on this connection up to its end
+    bool is_ping = false;
     bool reported = false;  // its time was up; the slot waits for the late answer
   };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -322,6 +322,32 @@
 
 // Even slices of less than a request once let nothing in. Plays many gateways: what all let in while the
 // counter is silent is about the customer's quota, whether it asks for less or for more than that.
+// A crowd lets several calls run out of time at once. Each once cut the share that asks, down to its least.
+TEST(Outage, ACrowdCutsTheShareThatAsksOnce) {
+  Settings settings = Gateway::Plain();
+  settings.plans[0].rate = settings.plans[0].burst = 1e6;
+  Gateway g(settings);
+  RequestId id = 0;
+  std::size_t asks = 0;
+  for (int round = 0; round < 50; ++round) {
+    const std::size_t before = g.asks.size();
+    for (int i = 0; i < 8; ++i) g.Ask(++id, 1);
+    asks += g.asks.size() - before;
+    g.Pass(milliseconds(30));
+    while (g.answered < g.asks.size()) g.Answer(1e5, CounterResult::kTimeout);  // one crowd
+    for (int i = 0; i < 12; ++i) {
+      g.Ask(++id, 1);
+      while (g.answered < g.asks.size()) g.Answer(1e5);
+      g.Pass(milliseconds(2));
+    }
+    while (!g.sends.empty()) {
+      g.End(0, Outcome::kOk);
+      g.sends.erase(g.sends.begin());
+    }
+  }
+  EXPECT_GT(asks, 200U);  // of 400; cut for each call it was under 100
+}
+
 TEST(Outage, WhatALostConnectionFailsAtOnceIsNotTakenForACrowdedCounterNorForAnOutage) {
   Gateway g;
   RequestId id = 0;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -456,11 +456,12 @@
   CHECK(hop.Command().at(2) == "one");
   hop.Send(kValue);
   CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
-  site.calls().Send("$1\r\n1\r\n");
+  site.calls().Send("$1\r\n1\r\n");  // a late total is a total: the connection stays
   client.Send(Read("two"));
   CHECK(hop.Command().at(2) == "two");
   hop.Send(kValue);
   CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  if (site.calls().HasMore()) CHECK(site.calls().Command().at(0) == "CNT.ADD");  // and not its end
 }
 
 TEST_CASE("an answer of the counter without a number ends its connection, and the next call has another") {
