Bound what stands still: half answers, half commands, silent clients, and reuse after surplus

Gatekeeper::hops_ kept the names of next hops that are gone. Now: 50 ms without a further byte within an answer; a look at the socket right before reuse; 2 s for a first command or the rest of one; 1 s for what is owed before a protocol error, then failed; open ids are an error; eviction takes what lingers, then what never asked, then the longest unused, never one with bytes waiting.

--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -105,7 +105,11 @@
   planner::RosterReport report{.scope = scope, .index = roster.index, .next_hops = {}};
   if (roster.full) hops_.clear();
   for (const config::RosterEntry& entry : roster.entries) {
-    hops_[entry.hop.name] = entry.hop.state == planner::HopState::kReady;
+    if (entry.hop.state == planner::HopState::kGone) {
+      hops_.erase(entry.hop.name);  // names are never used again: kept, they would only grow
+    } else {
+      hops_[entry.hop.name] = entry.hop.state == planner::HopState::kReady;
+    }
     report.next_hops.push_back(entry.hop);
   }
   ready_hops_ = static_cast<std::size_t>(
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 #include <utility>
 
@@ -81,6 +82,12 @@
   return evbuffer_get_length(bufferevent_get_input(connection));
 }
 
+bool HasNews(bufferevent* connection) {
+  char byte = 0;
+  const ssize_t size = recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void Consume(bufferevent* connection, std::size_t size) {
   evbuffer_drain(bufferevent_get_input(connection), size);
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -62,6 +62,8 @@
 std::string_view PeekFirst(bufferevent* connection);
 std::size_t ReadSize(bufferevent* connection);
 void Consume(bufferevent* connection, std::size_t size);
+// Whether bytes, an end or an error wait at the socket that the loop has not seen yet.
+bool HasNews(bufferevent* connection);
 
 }  // namespace postspread::net
 
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -13,6 +13,7 @@
 using std::chrono::microseconds;
 
 constexpr std::chrono::milliseconds kUpkeep{1'000};
+constexpr std::chrono::milliseconds kAnswerStall{50};  // within an answer: ten times the way there and back
 constexpr double kIdleShare = 0.7;  // of the idle limit: a write at the limit itself would be a reset
 
 }  // namespace
@@ -45,14 +46,15 @@
     is_probe_ = key == nullptr;
     key_ = key == nullptr ? AttemptKey{} : *key;
     busy_ = true;
+    stalled_ = false;
     need_ = 0;
     begun_ = begun;
+    ends_ = begun + timeout;
     if (up_) {
       Write(connection_.get(), message);
       timer_.Arm(timeout);
       return;
     }
-    ends_ = begun + timeout;
     bufferevent_write(connection_.get(), message.data(), message.size());  // leaves once it is up
     timer_.Arm(std::min(timeout, pool_.limits_.dial_timeout));
   }
@@ -70,6 +72,9 @@
 
   Hop& hop() { return hop_; }
   bool idle() const { return !busy_ && up_; }
+  // Looked at right before it is used again: a next hop may have closed it, or sent a second copy of its last
+  // answer, since the loop last looked. The one would be a reset that may have run, the other the wrong value.
+  bool spoilt() const { return HasNews(connection_.get()); }
   Clock::time_point idle_since() const { return idle_since_; }
 
  private:
@@ -90,6 +95,7 @@
 
   void TimedOut() {
     if (!busy_) return;
+    if (stalled_) return Malformed();
     const bool never_ran = !up_ || Unwritten(connection_.get()) > 0;
     Close(never_ran ? AttemptResult::kCouldNotConnect : AttemptResult::kTimedOut);
   }
@@ -105,17 +111,25 @@
       const resp::Progress progress = resp::ParseReply(bytes, reply);
       if (progress == resp::Progress::kPartial) {
         need_ = reply.need;
+        // An answer is written at once: one that stops halfway does not go on, and waiting for the attempt's
+        // own time-out would leave no time for another.
+        stalled_ = true;
+        timer_.Arm(std::min(std::chrono::duration_cast<microseconds>(ends_ - Clock::now()),
+                            microseconds(kAnswerStall)));
         continue;
       }
-      if (progress == resp::Progress::kBroken) {
-        pool_.malformed_("next hop's answer is malformed", hop_.name);
-        return Close(AttemptResult::kReset);
-      }
+      if (progress == resp::Progress::kBroken) return Malformed();
       break;
     }
     Take(reply);
   }
 
+  // What came has run, and the connection can't be used again.
+  void Malformed() {
+    pool_.malformed_("next hop's answer is malformed", hop_.name);
+    Close(AttemptResult::kReset);
+  }
+
   void Take(const resp::Reply& reply) {
     using Kind = resp::Reply::Kind;
     AttemptResult result = AttemptResult::kError;
@@ -124,7 +138,11 @@
     if (reply.kind == Kind::kError) {
       // "-BUSY", "-ERR failed": the load report may stand last, behind a space.
       const std::string_view word = reply.text.substr(0, reply.text.find(' '));
-      if (word == "BUSY") result = AttemptResult::kTurnedAway;
+      if (word == "BUSY") {
+        result = AttemptResult::kTurnedAway;
+      } else if (word != "ERR") {
+        return Malformed();
+      }
       const std::size_t space = reply.text.rfind(' ');
       if (space != std::string_view::npos) load = resp::DecodeLoad(reply.text.substr(space + 1));
     } else if (is_probe_ && (reply.kind == Kind::kBulk || reply.kind == Kind::kSimple)) {
@@ -136,8 +154,7 @@
       value = reply.first_raw;
       if (reply.count >= 3 && !reply.parts[2].null) load = resp::DecodeLoad(reply.parts[2].text);
     } else {
-      pool_.malformed_("next hop's answer is malformed", hop_.name);
-      return Close(AttemptResult::kReset);
+      return Malformed();
     }
     timer_.Disarm();
     // `value` is a slice of what was read: it is consumed, and the connection free again, after the report.
@@ -173,6 +190,7 @@
   bool up_ = false;
   bool busy_ = false;
   bool is_probe_ = false;
+  bool stalled_ = false;  // an answer has begun and not ended
   AttemptKey key_;
   std::size_t need_ = 0;
   Clock::time_point begun_;
@@ -263,13 +281,16 @@
 }
 
 NextHopPool::Connection* NextHopPool::FindIdle(Hop& hop) {
-  Connection* best = nullptr;  // the last used: the others may reach their age
-  for (const auto& connection : hop.connections) {
-    if (!connection->idle()) continue;
-    if (best == nullptr || connection->idle_since() > best->idle_since()) best = connection.get();
+  for (;;) {
+    Connection* best = nullptr;  // the last used: the others may reach their age
+    for (const auto& connection : hop.connections) {
+      if (!connection->idle()) continue;
+      if (best == nullptr || connection->idle_since() > best->idle_since()) best = connection.get();
+    }
+    if (best == nullptr || Clock::now() - best->idle_since() >= reuse_within_) return nullptr;
+    if (!best->spoilt()) return best;
+    Remove(*best);
   }
-  const bool fresh = best != nullptr && Clock::now() - best->idle_since() < reuse_within_;
-  return fresh ? best : nullptr;
 }
 
 NextHopPool::Connection* NextHopPool::Open(Hop& hop) {
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -7,15 +7,20 @@
 
 #include <algorithm>
 #include <cstring>
+#include <functional>
 #include <stdexcept>
+#include <tuple>
 #include <utility>
 
 namespace postspread::net {
 namespace {
 
-constexpr std::size_t kMaxPending = 512;               // answers owed on one connection
-constexpr std::size_t kMaxUnread = 256 * 1024;         // bytes of answers that a client has not taken
-constexpr std::size_t kReadAhead = 128 * 1024;         // bytes read from a client before they are handled
+constexpr std::size_t kMaxPending = 128;               // answers owed on one connection
+constexpr std::size_t kMaxUnread = 128 * 1024;         // bytes of answers that a client has not taken
+constexpr std::size_t kReadAhead = 80 * 1024;          // bytes read before they are handled: one command fits
+constexpr std::chrono::milliseconds kUpkeep{250};      // between two looks at what stands still
+constexpr std::chrono::milliseconds kSilence{2'000};   // for a first command, or the rest of one
+constexpr std::chrono::milliseconds kOwed{1'000};      // for what is owed before a protocol error
 constexpr std::chrono::milliseconds kLinger{1'000};    // for a client to close after our last answer
 constexpr std::chrono::milliseconds kAcceptAgain{50};  // until accepting is tried again
 constexpr int kBacklog = 1024;
@@ -25,7 +30,7 @@
 class SenderSide::Connection final : public Recipient {
  public:
   Connection(SenderSide& side, evutil_socket_t fd)
-      : side_(side), linger_(side.base_, [this] { side_.Remove(this); }) {
+      : side_(side), used_(Clock::now()), linger_(side.base_, [this] { side_.Remove(this); }) {
     const int one = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     connection_.reset(bufferevent_socket_new(side.base_, fd, BEV_OPT_CLOSE_ON_FREE));
@@ -50,11 +55,35 @@
     slots_.clear();
     base_ticket_ += slots.size();
     for (const Slot& slot : slots) {
-      if (!slot.ready && slot.number) side_.intake_.SenderGone(*slot.number);
+      if (slot.ready) continue;
+      side_.open_ids_.erase(slot.id);
+      if (slot.number) side_.intake_.SenderGone(*slot.number);
     }
   }
 
-  bool idle() const { return slots_.empty() && state_ == State::kOpen && Unwritten(connection_.get()) == 0; }
+  // Between requests, with nothing read and nothing waiting at the socket.
+  bool idle() const {
+    return slots_.empty() && state_ == State::kOpen && Unwritten(connection_.get()) == 0 &&
+           ReadSize(connection_.get()) == 0 && !HasNews(connection_.get());
+  }
+  bool has_asked() const { return has_asked_; }
+  Clock::time_point used() const { return used_; }
+
+  // What a client that stands still is owed: an error where it has begun a command, a close where it has said
+  // nothing at all. Guards against connections that hold descriptors and buffers for nothing.
+  void Look(Clock::time_point now) {
+    if (state_ == State::kClosing && !slots_.empty() && protocol_error_ && now - used_ >= kOwed) {
+      return GiveUpOwed();
+    }
+    if (state_ != State::kOpen || !slots_.empty()) return;
+    if (partial_since_ && now - *partial_since_ >= kSilence) {
+      ProtocolError("command not finished in time");
+      CloseBetweenRequests();
+    } else if (!has_asked_ && now - used_ >= kSilence && idle()) {
+      state_ = State::kClosing;
+      CloseBetweenRequests();
+    }
+  }
   bool lingering() const { return state_ == State::kLingering; }
 
   void Drain() {
@@ -82,6 +111,7 @@
   };
   struct Slot {
     std::optional<planner::EnvelopeNumber> number;
+    std::size_t id = 0;  // its hash
     bool ready = false;
     std::string answer;  // while the answers before it are owed
   };
@@ -99,22 +129,46 @@
       const resp::Progress progress = resp::ParseCommand(bytes, command_);
       if (progress == resp::Progress::kPartial) {
         need_ = command_.need;
+        if (!partial_since_) partial_since_ = Clock::now();
         continue;
       }
       need_ = 0;
       if (progress == resp::Progress::kBroken) {
-        Say(std::string("-ERR Protocol error: ") + command_.error + "\r\n");
-        state_ = State::kClosing;
+        ProtocolError(command_.error);
         break;
       }
       Handle();
       Consume(connection_.get(), command_.size);
+      used_ = Clock::now();
+      partial_since_.reset();
     }
     handling_ = false;
     Flow();
     CloseBetweenRequests();
   }
 
+  // The framing is lost: says so behind what is owed, reads nothing more, and closes.
+  void ProtocolError(const std::string& what) {
+    Say("-ERR Protocol error: " + what + "\r\n");
+    protocol_error_ = true;
+    state_ = State::kClosing;
+    used_ = Clock::now();
+  }
+
+  // A client that broke the framing learns of it soon, also where answers before the error take their time:
+  // those fail, which promises nothing.
+  void GiveUpOwed() {
+    const std::size_t owed = slots_.size();
+    const Ticket first = base_ticket_;
+    for (std::size_t i = 0; i < owed; ++i) {
+      const Ticket ticket = first + i;
+      if (ticket < base_ticket_ || slots_[ticket - base_ticket_].ready) continue;
+      const std::optional<planner::EnvelopeNumber> number = slots_[ticket - base_ticket_].number;
+      if (number) side_.intake_.SenderGone(*number);
+      Fail(ticket);
+    }
+  }
+
   void Handle() {
     if (command_.count == 0) return Say("-ERR empty command\r\n");
     const std::string_view verb = command_.parts[0];
@@ -130,8 +184,11 @@
     if (const char* error = resp::DecodeRequest(command_, side_.vocabulary_, request)) {
       return Say(std::string("-ERR ") + error + "\r\n");
     }
+    const std::size_t id = std::hash<std::string_view>()(request.id);
+    if (!side_.open_ids_.insert(id).second) return Say("-ERR a request with this id is open\r\n");
+    has_asked_ = true;
     const Ticket ticket = base_ticket_ + slots_.size();
-    slots_.emplace_back();
+    slots_.emplace_back().id = id;
     const planner::EnvelopeNumber number = side_.intake_.Take(
         request.envelope, resp::Letter(command_.message(), request.extras, request.patience), *this, ticket);
     if (ticket >= base_ticket_) slots_[ticket - base_ticket_].number = number;  // else answered already
@@ -148,6 +205,7 @@
     Slot& slot = slots_[ticket - base_ticket_];
     if (slot.ready) return;
     slot.ready = true;
+    if (slot.id != 0) side_.open_ids_.erase(slot.id);
     if (ticket != base_ticket_) {
       slot.answer = answer;
       held_ += answer.size();
@@ -211,6 +269,10 @@
   void Gone() { side_.Remove(this); }
 
   SenderSide& side_;
+  Clock::time_point used_;      // when the last command was taken; at first, when it connected
+  bool has_asked_ = false;  // a sound request has come
+  std::optional<Clock::time_point> partial_since_;  // the first part of a command that is not whole yet
+  bool protocol_error_ = false;
   BufferEvent connection_;
   Timer linger_;
   State state_ = State::kOpen;
@@ -231,7 +293,8 @@
       intake_(intake),
       accept_again_(base, [this] {
         if (listener_) evconnlistener_enable(listener_.get());
-      }) {
+      }),
+      upkeep_(base, [this] { Upkeep(); }) {
   listener_.reset(evconnlistener_new_bind(
       base,
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
@@ -247,6 +310,7 @@
     side->accept_again_.Arm(kAcceptAgain);
     side->accept_failed_("accept failed", evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
   });
+  upkeep_.Arm(kUpkeep);
 }
 
 SenderSide::~SenderSide() = default;
@@ -260,12 +324,29 @@
   connections_.push_back(std::make_unique<Connection>(*this, fd));
 }
 
-// Closes one connection that is between requests; its client opens another when it needs one.
+void SenderSide::Upkeep() {
+  upkeep_.Arm(kUpkeep);
+  const auto now = Clock::now();
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    Connection& connection = **it++;  // it may go away
+    connection.Look(now);
+  }
+}
+
+// Closes one connection that is between requests; its client opens another when it needs one. First those whose
+// client is done with, then those that never asked, then the longest unused: those that say nothing must not
+// crowd out usual clients.
 bool SenderSide::MakeRoom() {
-  const auto idle = std::find_if(connections_.begin(), connections_.end(),
-                                 [](const auto& c) { return c->idle() || c->lingering(); });
-  if (idle == connections_.end()) return false;
-  connections_.erase(idle);
+  const auto rank = [](const Connection& c) {
+    return std::make_tuple(!c.lingering(), c.has_asked(), c.used());
+  };
+  auto best = connections_.end();
+  for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+    if (best != connections_.end() && rank(**it) >= rank(**best)) continue;
+    if ((*it)->lingering() || (*it)->idle()) best = it;
+  }
+  if (best == connections_.end()) return false;
+  connections_.erase(best);
   return true;
 }
 
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include "envelope.h"
 #include "net/log.h"
@@ -72,15 +73,20 @@
   void AcceptWaiting();
   void Remove(Connection* connection);
   bool MakeRoom();
+  void Upkeep();
 
   event_base* base_;
   resp::Vocabulary vocabulary_;
   std::size_t max_connections_;
   Intake& intake_;
   bool draining_ = false;
-  Connections connections_;  // the longest unused first
+  Connections connections_;
+  // Ids of requests that are owed an answer, by hash: another one under such an id is a fault of its client,
+  // and passed on it could run in the other's place.
+  std::unordered_set<std::size_t> open_ids_;
   Listener listener_;
   Timer accept_again_;
+  Timer upkeep_;
   RareLog turned_away_, accept_failed_;
 };
 
--- a/src/resp/frame.cpp
+++ b/src/resp/frame.cpp
@@ -73,9 +73,9 @@
 // One part of an array: a bulk string, null, or a simple value.
 Progress ParsePart(Cursor& cursor, Reply::Part& part) {
   std::string_view line;
-  Progress progress = cursor.Header(":+$", line);
+  Progress progress = cursor.Header(":+-$", line);
   if (progress != Progress::kWhole) return progress;
-  if (line[0] == ':' || line[0] == '+') {
+  if (line[0] != '$') {
     part.text = line.substr(1);
     return Progress::kWhole;
   }
--- a/src/resp/request.cpp
+++ b/src/resp/request.cpp
@@ -68,6 +68,7 @@
   if (command.count != (is_write ? 5U : 4U)) return "wrong number of arguments";
   if (!IsCustomer(command.parts[1])) return "bad customer";
   if (command.parts[2].empty() || command.parts[2].size() > kMaxId) return "bad id";
+  out.id = command.parts[2];
   out.extras = command.parts[3];
   if (out.extras.size() > kMaxExtras) return "names and values too long";
   out.patience = {};
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -248,6 +248,8 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
   void Terminate() { kill(pid_, SIGTERM); }
+  void Pause() { kill(pid_, SIGSTOP); }
+  void Resume() { kill(pid_, SIGCONT); }
   // Replaces the file and sends SIGHUP.
   void Reload(const json& changes) {
     json config = config_;
@@ -489,6 +491,79 @@
   CHECK(again.Command().at(0) == "CNT.ADD");
 }
 
+TEST_CASE("an answer that can't be read costs its attempt only, and one that stops halfway does not hold it up") {
+  const auto answer = GENERATE("*3\r\n$5\r\nab", "~", "-NOISE\r\n", "*3\r\n$3000000000\r\nab", "$2\r\nhi\r\n");
+  Site site(1);
+  site.Start(1);
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  hop.Send(answer);
+  CHECK(hop.Ended());
+  Peer again = site.hop(0).Accept();
+  CHECK(again.Command().at(2) == "one");
+  again.Send("*3\r\n$2\r\nhi\r\n-what\r\n$12\r\nutil=,=,9e99\r\n");  // unreadable figures cost themselves only
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+TEST_CASE("what a next hop sends unasked is never the next request's answer") {
+  Site site(1);
+  site.Start(1);
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  hop.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  client.Send(Read("two"));
+  site.calls().Command();
+  site.Pause();  // so that the grant is seen before the surplus is read
+  site.calls().Send("$1\r\n2\r\n");
+  hop.Send("*3\r\n$2\r\nno\r\n$-1\r\n$-1\r\n");
+  site.Resume();
+  Peer fresh = site.hop(0).Accept();
+  CHECK(fresh.Command().at(2) == "two");
+  fresh.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+TEST_CASE("an id that is open already is an error, and free again after its answer") {
+  Site site(1);
+  site.Start(1);
+  Peer client = site.Client(), other = site.Client();
+  client.Send(Read("one"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  other.Send(Read("one"));
+  CHECK(other.Line() == "-ERR a request with this id is open\r\n");
+  hop.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  other.Send(Read("one"));
+  CHECK(hop.Command().at(2) == "one");
+}
+
+TEST_CASE("clients that stand still are told, or closed") {
+  Site site(1);
+  site.Start(1);
+  Peer silent = site.Client(), half = site.Client(), mixed = site.Client();
+  half.Send("*4\r\n$8\r\nAPI.");
+  mixed.Send(Read("one") + "noise\r\n");  // the error stands behind an answer that does not come
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  CHECK(mixed.Line() == "-ERR failed\r\n");
+  CHECK(mixed.Line() == "-ERR Protocol error: expected an array of bulk strings\r\n");
+  CHECK(mixed.Ended());
+  CHECK(hop.Ended());
+  CHECK(half.Line() == "-ERR Protocol error: command not finished in time\r\n");
+  CHECK(half.Ended());
+  CHECK(silent.Ended());
+}
+
 TEST_CASE("lost partners are dialled again") {
   Site site(1);
   site.Start(1);
