Evict connections that have just come last, so that new clients do not end one another

A probe that counts what the sender side does: with the table full of connections that asked once and stayed, 44 connections a second were evicted before their first request came. Ruled out: the quota, shedding and the counter (the module's refusals by reason). Test: two new clients on a full table both get their answer.

--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kReadAhead = 80 * 1024;          // bytes read before they are handled: one command fits
 constexpr std::chrono::milliseconds kUpkeep{250};      // between two looks at what stands still
 constexpr std::chrono::milliseconds kSilence{2'000};   // for a first command, or the rest of one
+constexpr std::chrono::milliseconds kFirstWord{500};   // in which a new client's first request may be on its way
 constexpr std::chrono::milliseconds kOwed{1'000};      // for what is owed before a protocol error
 constexpr std::chrono::milliseconds kLinger{1'000};    // for a client to close after our last answer
 constexpr std::chrono::milliseconds kAcceptAgain{50};  // until accepting is tried again
@@ -334,11 +335,14 @@
 }
 
 // Closes one connection that is between requests; its client opens another when it needs one. First those whose
-// client is done with, then those that never asked, then the longest unused: those that say nothing must not
-// crowd out usual clients.
+// client is done with, then those that stay without having asked, then the longest unused, so that those that
+// say nothing do not crowd out usual clients; last those that have just come and whose first request is on its
+// way: taken before the longest unused, each new client was the end of the one before it.
 bool SenderSide::MakeRoom() {
-  const auto rank = [](const Connection& c) {
-    return std::make_tuple(!c.lingering(), c.has_asked(), c.used());
+  const auto now = Clock::now();
+  const auto rank = [now](const Connection& c) {
+    const bool is_new = !c.has_asked() && now - c.used() < kFirstWord;
+    return std::make_tuple(c.lingering() ? 0 : is_new ? 3 : c.has_asked() ? 2 : 1, c.used());
   };
   auto best = connections_.end();
   for (auto it = connections_.begin(); it != connections_.end(); ++it) {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -546,6 +546,30 @@
   CHECK(hop.Command().at(2) == "one");
 }
 
+TEST_CASE("where connections are full the longest unused goes, not the one that has just come") {
+  Site site(1, {{"limits", {{"sockets", 32}}}});  // 8 of them for clients
+  site.Start(1);
+  std::vector<Peer> idle;
+  std::optional<Peer> hop;
+  for (int i = 0; i < 8; ++i) {
+    idle.push_back(site.Client());
+    idle.back().Send(Read("one"));
+    site.Grant();
+    if (!hop) hop.emplace(site.hop(0).Accept());
+    hop->Command();
+    hop->Send(kValue);
+    idle.back().Until("hi\r\n");
+  }
+  Peer first = site.Client(), second = site.Client();
+  second.Send(Command({"PING"}));  // both are accepted by now
+  CHECK(second.Line() == "+PONG\r\n");
+  first.Send(Command({"PING"}));
+  CHECK(first.Line() == "+PONG\r\n");
+  CHECK(idle[0].Ended());
+  CHECK(idle[1].Ended());
+  CHECK_FALSE(idle[7].HasMore());
+}
+
 TEST_CASE("clients that stand still are told, or closed") {
   Site site(1);
   site.Start(1);
