Close what clients leave idle before it fills the share of descriptors they may hold

Checked with a probe that counts connections by age: 70 a second for each gatekeeper come, ask once within 5 ms and stay; those that had asked stood at exactly 128 of 384 descriptors, the third that clients hold at most for requests, so that everybody else was refused at the front. Nothing here closed them (SenderSide). So near that third the longest unused go, down to 0.3 s, looked at before (nothing read, nothing waiting at the socket). Clients that keep asking are never the longest unused.

--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace postspread::net {
 namespace {
@@ -19,7 +20,9 @@
 constexpr std::size_t kMaxUnread = 128 * 1024;         // bytes of answers that a client has not taken
 constexpr std::size_t kReadAhead = 80 * 1024;          // bytes read before they are handled: one command fits
 constexpr std::chrono::milliseconds kUpkeep{250};      // between two looks at what stands still
-constexpr std::chrono::milliseconds kSilence{2'000};   // for a first command, or the rest of one
+constexpr std::chrono::milliseconds kSilence{2'000};   // for a first command, the rest of one, or the next
+constexpr std::chrono::milliseconds kLeastIdle{300};   // of one that is closed to make room for others
+constexpr std::size_t kMany = 4;                       // part of the connections from which on they are many
 constexpr std::chrono::milliseconds kFirstWord{500};   // in which a new client's first request may be on its way
 constexpr std::chrono::milliseconds kOwed{1'000};      // for what is owed before a protocol error
 constexpr std::chrono::milliseconds kLinger{1'000};    // for a client to close after our last answer
@@ -71,8 +74,10 @@
   Clock::time_point used() const { return used_; }
 
   // What a client that stands still is owed: an error where it has begun a command, a close where it has said
-  // nothing at all. Guards against connections that hold descriptors and buffers for nothing.
-  void Look(Clock::time_point now) {
+  // nothing at all, and where connections are many also where it has nothing to ask any more. Guards against
+  // connections that hold descriptors and buffers for nothing: clients may hold only so many, and those that
+  // ask once and stay would keep all others out.
+  void Look(Clock::time_point now, bool many, Clock::time_point unused_since) {
     if (state_ == State::kClosing && !slots_.empty() && protocol_error_ && now - used_ >= kOwed) {
       return GiveUpOwed();
     }
@@ -80,7 +85,8 @@
     if (partial_since_ && now - *partial_since_ >= kSilence) {
       ProtocolError("command not finished in time");
       CloseBetweenRequests();
-    } else if (!has_asked_ && now - used_ >= kSilence && idle()) {
+    } else if ((((!has_asked_ || many) && now - used_ >= kSilence) || (has_asked_ && used_ <= unused_since)) &&
+               idle()) {
       state_ = State::kClosing;
       CloseBetweenRequests();
     }
@@ -325,12 +331,28 @@
   connections_.push_back(std::make_unique<Connection>(*this, fd));
 }
 
+// Clients hold at most a third of the descriptors for requests. Near that those are closed that were last used
+// at the time returned or before: the longest unused, or clients that ask once and stay would keep others out.
+Clock::time_point SenderSide::Crowded(Clock::time_point now) const {
+  const std::size_t room = max_connections_ / 2;  // some three quarters of that third
+  std::vector<Clock::time_point> used;
+  for (const auto& connection : connections_) {
+    if (connection->has_asked()) used.push_back(connection->used());
+  }
+  if (used.size() <= room) return {};
+  const auto last = used.begin() + static_cast<std::ptrdiff_t>(used.size() - room - 1);
+  std::nth_element(used.begin(), last, used.end());
+  return std::min(*last, now - kLeastIdle);
+}
+
 void SenderSide::Upkeep() {
   upkeep_.Arm(kUpkeep);
   const auto now = Clock::now();
+  const bool many = connections_.size() > max_connections_ / kMany;
+  const auto unused_since = Crowded(now);
   for (auto it = connections_.begin(); it != connections_.end();) {
     Connection& connection = **it++;  // it may go away
-    connection.Look(now);
+    connection.Look(now, many, unused_since);
   }
 }
 
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -74,6 +74,7 @@
   void Remove(Connection* connection);
   bool MakeRoom();
   void Upkeep();
+  Clock::time_point Crowded(Clock::time_point now) const;
 
   event_base* base_;
   resp::Vocabulary vocabulary_;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -570,6 +570,49 @@
   CHECK_FALSE(idle[7].HasMore());
 }
 
+TEST_CASE("near the clients' share of the descriptors only the longest unused connections are closed early") {
+  Site site(1, {{"limits", {{"sockets", 32}}}});  // 8 for clients, 4 of them may stay
+  site.Start(1);
+  std::vector<Peer> clients;
+  std::optional<Peer> hop;
+  for (int i = 0; i < 6; ++i) {
+    clients.push_back(site.Client());
+    clients.back().Send(Read("one"));
+    site.Grant();
+    if (!hop) hop.emplace(site.hop(0).Accept());
+    hop->Command();
+    hop->Send(kValue);
+    clients.back().Until("hi\r\n");
+  }
+  CHECK(clients[0].Ended());
+  CHECK(clients[1].Ended());
+  CHECK_FALSE(clients[5].HasMore());
+}
+
+TEST_CASE("where connections are many, one that has nothing to ask any more is closed, and only then") {
+  const int sockets = GENERATE(32, 1024);
+  Site site(1, {{"limits", {{"sockets", sockets}}}});
+  site.Start(1);
+  std::vector<Peer> clients;
+  std::optional<Peer> hop;
+  for (int i = 0; i < 4; ++i) {
+    clients.push_back(site.Client());
+    clients.back().Send(Read("one"));
+    site.Grant();
+    if (!hop) hop.emplace(site.hop(0).Accept());
+    hop->Command();
+    hop->Send(kValue);
+    clients.back().Until("hi\r\n");
+  }
+  if (sockets == 32) {
+    CHECK(clients[0].Ended());
+  } else {
+    Peer silent = site.Client();
+    CHECK(silent.Ended());  // later than the clients above stand still
+    CHECK_FALSE(clients[0].HasMore());
+  }
+}
+
 TEST_CASE("clients that stand still are told, or closed") {
   Site site(1);
   site.Start(1);
