--- a/src/control.cpp
+++ b/src/control.cpp
@@ -987,7 +987,8 @@
 
   Settings set_;
   std::uint64_t random_;
-  TimePoint now_, start_, next_check_{0}, down_since_{0}, failed_at_{-1}, cut_at_{0}, open_at_{0}, stall_end_{0};
+  TimePoint now_, start_, next_check_{0}, down_since_{0}, open_at_{0}, stall_end_{0};
+  TimePoint failed_at_{-1}, cut_at_{0};  // the last failed ask, and the last cut of the share that asks
   std::vector<Action>* out_ = nullptr;
   bool sweeping_ = false, marked_ = false;  // marked_: clients are seen to mark their repeats
 
