--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -65,10 +65,9 @@
     if (out.name.empty()) throw ConfigError("\"name\" is missing");
     out.listen = ToAddress(Choose(from, "listen", environment, "ROUTER_LISTEN"), "listen");
     const bool file_wins = discovery == Discovery::kFromFile && !TextOr(from, "discovery").empty();
-    out.discovery =
-        ToAddress(file_wins ? TextOr(from, "discovery")
-                            : Choose(from, "discovery", environment, "ROUTER_DISCOVERY"),
-                  "discovery");
+    out.discovery = ToAddress(
+        file_wins ? TextOr(from, "discovery") : Choose(from, "discovery", environment, "ROUTER_DISCOVERY"),
+        "discovery");
     out.seed = ToSeed(from);
     const json& limits = Part(from, "limits");
     Within("limits", [&] {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -21,7 +21,8 @@
 const char* Variable(const char* name) { return std::getenv(name); }
 
 std::string Partners(const config::Config& config) {
-  return "discovery " + config.discovery.text() + (config.counter ? ", counter " + config.counter->text() : "");
+  return "discovery " + config.discovery.text() +
+         (config.counter ? ", counter " + config.counter->text() : "");
 }
 
 // The whole new file is decoded first: where it is wrong, all stays as it is.
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds kRedial{200};       // between two tries to connect
 constexpr milliseconds kSilence{1'000};    // without a word on what was asked: the connection counts as dead
 constexpr milliseconds kKeepInUse{2'000};  // the counter closes what stands idle for some 10 s
-constexpr std::size_t kMaxAnswer = 64;    // bytes of an answer that is still to come: a number, or a short line
-constexpr std::size_t kMaxCalls = 4096;    // unanswered calls that are kept
+constexpr std::size_t kMaxAnswer = 64;  // bytes of an answer that is still to come: a number, or a short line
+constexpr std::size_t kMaxCalls = 4096;  // unanswered calls that are kept
 constexpr std::int64_t kMaxLifeMs = 60'000;
 
 bool ToNumber(std::string_view text, double& out) {
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -68,7 +68,7 @@
   BufferEvent connection_;
   bool up_ = false;
   bool has_answered_ = false;  // this connection
-  bool was_up_ = true;  // so that only changes are logged
+  bool was_up_ = true;         // so that only changes are logged
   bool retired_ = false;
   Clock::time_point dialled_;
   Clock::time_point used_;
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -28,8 +28,8 @@
   Gatekeeper& operator=(const Gatekeeper&) = delete;
 
   // SIGHUP has come and `config` is sound: takes on its addresses of discovery and of the counter. What is
-  // under way, the list of next hops and all that was learnt stay. Returns whether it holds anything that only
-  // a restart can take on.
+  // under way, the list of next hops and all that was learnt stay. Returns whether it holds anything that
+  // only a restart can take on.
   bool Reload(const config::Config& config);
 
   // SIGTERM has come: goes on for a while, then answers what was taken and ends the loop.
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -73,7 +73,8 @@
   Hop& hop() { return hop_; }
   bool idle() const { return !busy_ && up_; }
   // Looked at right before it is used again: a next hop may have closed it, or sent a second copy of its last
-  // answer, since the loop last looked. The one would be a reset that may have run, the other the wrong value.
+  // answer, since the loop last looked. The one would be a reset that may have run, the other the wrong
+  // value.
   bool spoilt() const { return HasNews(connection_.get()); }
   Clock::time_point idle_since() const { return idle_since_; }
 
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -16,15 +16,16 @@
 namespace postspread::net {
 namespace {
 
-constexpr std::size_t kMaxPending = 128;               // answers owed on one connection
-constexpr std::size_t kMaxUnread = 128 * 1024;         // bytes of answers that a client has not taken
-constexpr std::size_t kReadAhead = 80 * 1024;          // bytes read before they are handled: one command fits
-constexpr std::chrono::milliseconds kUpkeep{250};      // between two looks at what stands still
-constexpr std::chrono::milliseconds kSilence{2'000};   // for a first command, the rest of one, or the next
-constexpr std::chrono::milliseconds kLeastIdle{300};   // of one that is closed to make room for others
-constexpr std::size_t kMany = 4;                       // part of the connections from which on they are many
-constexpr std::chrono::milliseconds kFirstWord{500};   // in which a new client's first request may be on its way
-constexpr std::chrono::milliseconds kOwed{1'000};      // for what is owed before a protocol error
+constexpr std::size_t kMaxPending = 128;              // answers owed on one connection
+constexpr std::size_t kMaxUnread = 128 * 1024;        // bytes of answers that a client has not taken
+constexpr std::size_t kReadAhead = 80 * 1024;         // bytes read before they are handled: one command fits
+constexpr std::chrono::milliseconds kUpkeep{250};     // between two looks at what stands still
+constexpr std::chrono::milliseconds kSilence{2'000};  // for a first command, the rest of one, or the next
+constexpr std::chrono::milliseconds kLeastIdle{300};  // of one that is closed to make room for others
+constexpr std::size_t kMany = 4;                      // part of the connections from which on they are many
+constexpr std::chrono::milliseconds kFirstWord{
+    500};                                          // in which a new client's first request may be on its way
+constexpr std::chrono::milliseconds kOwed{1'000};  // for what is owed before a protocol error
 constexpr std::chrono::milliseconds kLinger{1'000};    // for a client to close after our last answer
 constexpr std::chrono::milliseconds kAcceptAgain{50};  // until accepting is tried again
 constexpr int kBacklog = 1024;
@@ -85,7 +86,8 @@
     if (partial_since_ && now - *partial_since_ >= kSilence) {
       ProtocolError("command not finished in time");
       CloseBetweenRequests();
-    } else if ((((!has_asked_ || many) && now - used_ >= kSilence) || (has_asked_ && used_ <= unused_since)) &&
+    } else if ((((!has_asked_ || many) && now - used_ >= kSilence) ||
+                (has_asked_ && used_ <= unused_since)) &&
                idle()) {
       state_ = State::kClosing;
       CloseBetweenRequests();
@@ -276,7 +278,7 @@
   void Gone() { side_.Remove(this); }
 
   SenderSide& side_;
-  Clock::time_point used_;      // when the last command was taken; at first, when it connected
+  Clock::time_point used_;  // when the last command was taken; at first, when it connected
   bool has_asked_ = false;  // a sound request has come
   std::optional<Clock::time_point> partial_since_;  // the first part of a command that is not whole yet
   bool protocol_error_ = false;
@@ -298,9 +300,10 @@
       vocabulary_(std::move(vocabulary)),
       max_connections_(max_connections),
       intake_(intake),
-      accept_again_(base, [this] {
-        if (listener_) evconnlistener_enable(listener_.get());
-      }),
+      accept_again_(base,
+                    [this] {
+                      if (listener_) evconnlistener_enable(listener_.get());
+                    }),
       upkeep_(base, [this] { Upkeep(); }) {
   listener_.reset(evconnlistener_new_bind(
       base,
@@ -331,8 +334,9 @@
   connections_.push_back(std::make_unique<Connection>(*this, fd));
 }
 
-// Clients hold at most a third of the descriptors for requests. Near that those are closed that were last used
-// at the time returned or before: the longest unused, or clients that ask once and stay would keep others out.
+// Clients hold at most a third of the descriptors for requests. Near that those are closed that were last
+// used at the time returned or before: the longest unused, or clients that ask once and stay would keep
+// others out.
 Clock::time_point SenderSide::Crowded(Clock::time_point now) const {
   const std::size_t room = max_connections_ / 2;  // some three quarters of that third
   std::vector<Clock::time_point> used;
@@ -356,10 +360,10 @@
   }
 }
 
-// Closes one connection that is between requests; its client opens another when it needs one. First those whose
-// client is done with, then those that stay without having asked, then the longest unused, so that those that
-// say nothing do not crowd out usual clients; last those that have just come and whose first request is on its
-// way: taken before the longest unused, each new client was the end of the one before it.
+// Closes one connection that is between requests; its client opens another when it needs one. First those
+// whose client is done with, then those that stay without having asked, then the longest unused, so that
+// those that say nothing do not crowd out usual clients; last those that have just come and whose first
+// request is on its way: taken before the longest unused, each new client was the end of the one before it.
 bool SenderSide::MakeRoom() {
   const auto now = Clock::now();
   const auto rank = [now](const Connection& c) {
--- a/src/resp/request.h
+++ b/src/resp/request.h
@@ -44,7 +44,7 @@
 };
 
 struct Request {
-  Envelope envelope;          // slices of the command
+  Envelope envelope;  // slices of the command
   std::string_view id;
   std::string_view extras;    // the names and values
   std::string_view patience;  // the digits of d in them
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -158,7 +158,8 @@
 // The program with its partners. Time limits of the settings are far off, so that none runs out by chance.
 class Site {
  public:
-  explicit Site(int hops, json changes = json::object(), bool with_variables = false) : hops_(static_cast<std::size_t>(hops)) {
+  explicit Site(int hops, json changes = json::object(), bool with_variables = false)
+      : hops_(static_cast<std::size_t>(hops)) {
     Port free;
     port_ = free.number();
     free.Close();
@@ -491,8 +492,10 @@
   CHECK(again.Command().at(0) == "CNT.ADD");
 }
 
-TEST_CASE("an answer that can't be read costs its attempt only, and one that stops halfway does not hold it up") {
-  const auto answer = GENERATE("*3\r\n$5\r\nab", "~", "-NOISE\r\n", "*3\r\n$3000000000\r\nab", "$2\r\nhi\r\n");
+TEST_CASE(
+    "an answer that can't be read costs its attempt only, and one that stops halfway does not hold it up") {
+  const auto answer =
+      GENERATE("*3\r\n$5\r\nab", "~", "-NOISE\r\n", "*3\r\n$3000000000\r\nab", "$2\r\nhi\r\n");
   Site site(1);
   site.Start(1);
   Peer client = site.Client();
@@ -504,7 +507,8 @@
   CHECK(hop.Ended());
   Peer again = site.hop(0).Accept();
   CHECK(again.Command().at(2) == "one");
-  again.Send("*3\r\n$2\r\nhi\r\n-what\r\n$12\r\nutil=,=,9e99\r\n");  // unreadable figures cost themselves only
+  again.Send(
+      "*3\r\n$2\r\nhi\r\n-what\r\n$12\r\nutil=,=,9e99\r\n");  // unreadable figures cost themselves only
   CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
 }
 
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -101,7 +101,8 @@
 }
 
 TEST_CASE("a reply that can't be read ends at its first bad byte") {
-  for (const char* bytes : {"~", "\r", "-ERR\n", "+a\rb", "$123456789012345678", "*3\r\n~", "*1\r\n$2\r\nabcd"}) {
+  for (const char* bytes :
+       {"~", "\r", "-ERR\n", "+a\rb", "$123456789012345678", "*3\r\n~", "*1\r\n$2\r\nabcd"}) {
     Reply reply;
     INFO(bytes);
     CHECK(ParseReply(bytes, reply) == Progress::kBroken);
