Tell refused clients when to return also after failed attempts and when this gatekeeper is full

Read: control.cpp's Ended refused with a retry-after of 0, and Gatekeeper::Take turned away what it can't hold with none, so both left as a bare -BUSY though the settings allow advice. Now it is the usual time of an answer of that class, and the longest advice that clients heed. At once as before; nothing is held back. Beside it the counter's lost and up lines come once a second at most, since unreadable answers may be frequent. Test: the module's refusals after a failed attempt carry advice.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -848,7 +848,8 @@
 
   void Ended(Request& r) {
     if (r.stage == Stage::kDone) return;
-    if (Harmless(r)) return Refused(r, Duration(0));  // a server failed it, and others have room
+    // A server failed it: others have room, and what holds it up is mostly over within a usual answer's time.
+    if (Harmless(r)) return Refused(r, std::max(set_.tick, FromSeconds(Usual(r))));
     Do(Fail{r.id});
     Close(r);
   }
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -6,8 +6,6 @@
 #include <cmath>
 #include <utility>
 
-#include "net/log.h"
-
 namespace postspread::net {
 namespace {
 
@@ -90,7 +88,7 @@
 void CounterClient::Event(short what) {
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     up_ = true;
-    if (!std::exchange(was_up_, true)) Log("counter connection is up again");
+    if (!std::exchange(was_up_, true)) again_("counter connection is up again");
   } else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
     Lost(up_ ? "closed by the counter" : "refused");
   }
@@ -102,7 +100,7 @@
   connection_.reset();
   up_ = false;
   timer_.Disarm();
-  if (std::exchange(was_up_, false) && !retired_) Log("counter connection is lost", why);
+  if (std::exchange(was_up_, false) && !retired_) lost_("counter connection is lost", why);
   std::deque<Call> calls = std::exchange(calls_, {});
   reported_ = 0;
   // At once where it has served: an unreadable answer now and then must not leave calls without a counter.
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/log.h"
 #include "net/loop.h"
 #include "planner/types.h"
 #include "resp/frame.h"
@@ -70,6 +71,7 @@
   bool has_answered_ = false;  // this connection
   bool was_up_ = true;         // so that only changes are logged
   bool retired_ = false;
+  RareLog lost_, again_;
   Clock::time_point dialled_;
   Clock::time_point used_;
   std::uint64_t appended_ = 0;  // bytes handed to this connection
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -74,7 +74,9 @@
 planner::EnvelopeNumber Gatekeeper::Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
                                          Recipient::Ticket ticket) {
   if (held_.size() >= max_open_ || held_bytes_ + letter.size() > max_held_bytes_) {
-    recipient.Defer(ticket, milliseconds(0));
+    const Settings& settings = config_.settings;
+    recipient.Defer(ticket, settings.retry_after ? std::chrono::ceil<milliseconds>(settings.max_retry_after)
+                                                 : milliseconds(0));
     return 0;
   }
   const planner::Planner::Picked picked = planner_.Pick(envelope, Clock::now());
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -847,6 +847,7 @@
       g.Ask(1, 1, cls);
       g.End(0, Outcome::kError);
       EXPECT_EQ(g.refused.size() + g.failed.size(), 1U);
+      for (const Refuse& refuse : g.refused) EXPECT_GT(refuse.retry_after, Duration(0));  // told when to return
     }
   }
   {  // the cap on attempts open at once
