--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,9 @@
 // postspread's gatekeeper: wiring, signals and exit codes.
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -9,11 +11,13 @@
 #include "net/gatekeeper.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "operator/operator_file.h"
 
 namespace {
 
 namespace config = postspread::config;
 namespace net = postspread::net;
+namespace operator_file = postspread::operator_file;
 
 constexpr int kExitFailure = 1;  // could not start or go on
 constexpr int kExitConfig = 2;   // the configuration is wrong
@@ -25,11 +29,29 @@
          (config.counter ? ", counter " + config.counter->text() : "");
 }
 
-// The whole new file is decoded first: where it is wrong, all stays as it is.
-void Reload(net::Gatekeeper& gatekeeper) {
+// What the command line says; without a word on it the program does as it did before it had one.
+struct Options {
+  std::string operator_path;  // empty: none
+  bool check_only = false;
+  net::LogFormat log_format = net::LogFormat::kText;
+};
+
+operator_file::OperatorFile ReadOperatorFile(const Options& options) {
+  if (options.operator_path.empty()) return {};
+  return operator_file::Load(options.operator_path);
+}
+
+struct Program {
+  const Options& options;
+  std::optional<net::Gatekeeper> gatekeeper;
+};
+
+// Both files are decoded whole first: where one is wrong, all stays as it is.
+void Reload(Program& program) {
   try {
     const config::Config config = config::Reload(Variable);
-    const bool more = gatekeeper.Reload(config);
+    const operator_file::OperatorFile operators = ReadOperatorFile(program.options);
+    const bool more = program.gatekeeper->Reload(config, operators);
     net::Log("configuration read again", Partners(config));
     if (more) net::Log("configuration changed beyond that", "the rest holds from the next start on");
   } catch (const std::exception& error) {
@@ -37,38 +59,63 @@
   }
 }
 
-int Serve() {
+int Serve(const Options& options) {
   std::signal(SIGPIPE, SIG_IGN);
   const net::EventBase base = net::MakeEventBase();
-  std::optional<net::Gatekeeper> gatekeeper;
+  Program program{options, std::nullopt};
   // Caught before the file is read, so that no signal ends the program or is missed on the way up: the loop
   // calls back only once it runs.
   const auto on_stop = [](evutil_socket_t, short, void* self) {
-    (*static_cast<std::optional<net::Gatekeeper>*>(self))->Drain();
+    static_cast<Program*>(self)->gatekeeper->Drain();
   };
-  const auto on_reload = [](evutil_socket_t, short, void* self) {
-    Reload(**static_cast<std::optional<net::Gatekeeper>*>(self));
-  };
-  const net::EventHandle term(evsignal_new(base.get(), SIGTERM, on_stop, &gatekeeper));
-  const net::EventHandle interrupt(evsignal_new(base.get(), SIGINT, on_stop, &gatekeeper));
-  const net::EventHandle hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &gatekeeper));
+  const auto on_reload = [](evutil_socket_t, short, void* self) { Reload(*static_cast<Program*>(self)); };
+  const net::EventHandle term(evsignal_new(base.get(), SIGTERM, on_stop, &program));
+  const net::EventHandle interrupt(evsignal_new(base.get(), SIGINT, on_stop, &program));
+  const net::EventHandle hang_up(evsignal_new(base.get(), SIGHUP, on_reload, &program));
   for (const auto* handle : {&term, &interrupt, &hang_up}) event_add(handle->get(), nullptr);
   const config::Config config = config::Load(Variable);
-  gatekeeper.emplace(base.get(), config);
+  const operator_file::OperatorFile operators = ReadOperatorFile(options);
+  program.gatekeeper.emplace(base.get(), config, operators);
   net::Log("started", config.name + " on " + config.listen.text());
   event_base_dispatch(base.get());
   net::Log("stopped", "all that was taken is answered");
   return EXIT_SUCCESS;
 }
 
+// Reads and checks both files as a start would, and serves nothing.
+int Check(const Options& options) {
+  const config::Config config = config::Load(Variable);
+  ReadOperatorFile(options);
+  net::Log("configuration is sound", config.name + " on " + config.listen.text());
+  return EXIT_SUCCESS;
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  Options options;
+  CLI::App app("The gatekeeper. ROUTER_CONFIG names the platform's configuration.", "postspread_gatekeeper");
+  app.add_option("--operator", options.operator_path, "The operator file; without it all in it is off")
+      ->type_name("FILE");
+  app.add_flag("--check", options.check_only, "Read and check all configuration, then end");
+  app.add_option("--log-format", options.log_format, "The form of log lines: text or json")
+      ->type_name("FORM")
+      ->transform(CLI::CheckedTransformer(std::map<std::string, net::LogFormat>{
+          {"text", net::LogFormat::kText}, {"json", net::LogFormat::kJson}}));
   try {
-    return Serve();
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == EXIT_SUCCESS ? EXIT_SUCCESS : kExitConfig;
+  }
+  net::OpenLog(options.log_format);
+  try {
+    return options.check_only ? Check(options) : Serve(options);
   } catch (const config::ConfigError& error) {
     net::Log("configuration is wrong", error.what());
     return kExitConfig;
+  } catch (const operator_file::OperatorError& error) {
+    net::Log("configuration is wrong", error.what());
+    return kExitConfig;
   } catch (const std::exception& error) {
     net::Log("can't go on", error.what());
     return kExitFailure;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -40,9 +40,11 @@
 
 }  // namespace
 
-Gatekeeper::Gatekeeper(event_base* base, const config::Config& config)
+Gatekeeper::Gatekeeper(event_base* base, const config::Config& config,
+                       const operator_file::OperatorFile& operators)
     : base_(base),
       config_(config),
+      operators_(operators),
       planner_(config.settings, config.seed, WallNow(), Clock::now()),
       max_open_(config.max_open),
       max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
@@ -212,7 +214,7 @@
                          static_cast<CounterListener&>(*this));
 }
 
-bool Gatekeeper::Reload(const config::Config& config) {
+bool Gatekeeper::Reload(const config::Config& config, const operator_file::OperatorFile& operators) {
   if (config.counter && !counters_.empty() && !(counters_.back().address() == *config.counter)) {
     for (CounterClient& counter : counters_) counter.Retire();
     DialCounter(*config.counter);
@@ -222,7 +224,7 @@
   return config.name != config_.name || !(config.listen == config_.listen) ||
          config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
          config.settings != config_.settings || config.hop_idle != config_.hop_idle ||
-         config.max_open != config_.max_open;
+         config.max_open != config_.max_open || operators != operators_;
 }
 
 // A counter that was left goes once it owes nothing and another is up in its place, or once it is lost.
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -16,6 +16,7 @@
 #include "net/discovery_watch.h"
 #include "net/next_hop_pool.h"
 #include "net/sender_side.h"
+#include "operator/operator_file.h"
 #include "planner/planner.h"
 
 namespace postspread::net {
@@ -23,14 +24,15 @@
 class Gatekeeper final : private Intake, private AttemptListener, private CounterListener {
  public:
   // Listens at once; throws std::runtime_error where it can't.
-  Gatekeeper(event_base* base, const config::Config& config);
+  Gatekeeper(event_base* base, const config::Config& config,
+             const operator_file::OperatorFile& operators = {});
   Gatekeeper(const Gatekeeper&) = delete;
   Gatekeeper& operator=(const Gatekeeper&) = delete;
 
   // SIGHUP has come and `config` is sound: takes on its addresses of discovery and of the counter. What is
   // under way, the list of next hops and all that was learnt stay. Returns whether it holds anything that
   // only a restart can take on.
-  bool Reload(const config::Config& config);
+  bool Reload(const config::Config& config, const operator_file::OperatorFile& operators = {});
 
   // SIGTERM has come: goes on for a while, then answers what was taken and ends the loop.
   void Drain();
@@ -73,6 +75,7 @@
 
   event_base* base_;
   config::Config config_;
+  operator_file::OperatorFile operators_;
   planner::Planner planner_;
   std::size_t max_open_;
   std::size_t max_held_bytes_;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,16 +1,55 @@
 #include "net/log.h"
 
-#include <unistd.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
 
 namespace postspread::net {
+namespace {
+
+constexpr char kTextLogger[] = "postspread";
+constexpr char kJsonLogger[] = "postspread-json";
+
+// The pattern turns the level's place and the time into the rest of the object; the message is its members.
+constexpr char kTextPattern[] = "postspread: %v";
+constexpr char kJsonPattern[] = R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","program":"postspread",%v})";
+
+std::shared_ptr<spdlog::logger> MakeLogger(LogFormat format) {
+  const bool is_json = format == LogFormat::kJson;
+  auto out = std::make_shared<spdlog::logger>(is_json ? kJsonLogger : kTextLogger,
+                                              std::make_shared<spdlog::sinks::stderr_sink_st>());
+  out->set_pattern(is_json ? kJsonPattern : kTextPattern, spdlog::pattern_time_type::utc);
+  out->flush_on(spdlog::level::trace);
+  // A log that takes nothing must not stop the service.
+  out->set_error_handler([](const std::string&) {});
+  return out;
+}
+
+std::string Quoted(std::string_view text) {
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+void OpenLog(LogFormat format) { spdlog::set_default_logger(MakeLogger(format)); }
 
 void Log(std::string_view event, std::string_view detail) {
-  std::string line = "postspread: ";
-  line += event;
-  if (!detail.empty()) line.append(": ").append(detail);
-  line += '\n';
-  // One call a line, so that lines stay whole; a log that takes nothing must not stop the service.
-  [[maybe_unused]] const ssize_t written = write(STDERR_FILENO, line.data(), line.size());
+  spdlog::logger* logger = spdlog::default_logger_raw();
+  if (logger->name() != kTextLogger && logger->name() != kJsonLogger) {
+    OpenLog(LogFormat::kText);
+    logger = spdlog::default_logger_raw();
+  }
+  std::string line;
+  if (logger->name() == kJsonLogger) {
+    line = "\"event\":" + Quoted(event);
+    if (!detail.empty()) line += ",\"detail\":" + Quoted(detail);
+  } else {
+    line = event;
+    if (!detail.empty()) line.append(": ").append(detail);
+  }
+  logger->log(spdlog::level::info, spdlog::string_view_t(line.data(), line.size()));
 }
 
 void RareLog::operator()(std::string_view event, std::string_view detail) {
--- /dev/null
+++ b/src/operator/operator_file.cpp
@@ -0,0 +1,139 @@
+#include "operator/operator_file.h"
+
+#include <confuse.h>
+
+#include <cstdarg>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <initializer_list>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+#include "operator/values.h"
+
+namespace postspread::operator_file {
+namespace {
+
+constexpr std::size_t kMaxFile = 1 << 20;
+
+// Set behind the text: libconfuse takes the end of the file for the end of a block that is still open, and a
+// file that was cut would hold in part. Inside a block there is no such option.
+constexpr char kEnd[] = "__end";
+
+struct FreeConfig {
+  void operator()(cfg_t* cfg) const { cfg_free(cfg); }
+};
+using ConfigHandle = std::unique_ptr<cfg_t, FreeConfig>;
+
+// libconfuse hands its error callback no context: the text goes to whoever parses on this thread.
+struct ErrorSink {
+  const std::string& name;
+  std::string fault;
+};
+thread_local ErrorSink* error_sink = nullptr;
+
+void KeepError(cfg_t* cfg, const char* format, va_list arguments) {
+  if (error_sink == nullptr || !error_sink->fault.empty()) return;  // the first fault is the one to mend
+  char text[512];
+  std::vsnprintf(text, sizeof text, format, arguments);
+  error_sink->fault = error_sink->name + ":" + std::to_string(cfg->line) + ": " + text;
+}
+
+template <typename T>
+using Words = std::initializer_list<std::pair<const char*, T>>;
+
+template <typename T>
+int ParseWord(cfg_t* cfg, cfg_opt_t* opt, const char* value, void* result, const char* all, Words<T> words) {
+  if (GivenTwice(cfg, opt)) return -1;
+  for (const auto& [name, word] : words) {
+    if (std::strcmp(name, value) != 0) continue;
+    *static_cast<long*>(result) = static_cast<long>(word);
+    return 0;
+  }
+  BadWord(cfg, opt, value, all);
+  return -1;
+}
+
+int ParseWhenFull(cfg_t* cfg, cfg_opt_t* opt, const char* value, void* result) {
+  using idempotency::WhenFull;
+  return ParseWord<WhenFull>(cfg, opt, value, result, "defer, pass",
+                             {{"defer", WhenFull::kDefer}, {"pass", WhenFull::kPass}});
+}
+
+int ParseUnvouched(cfg_t* cfg, cfg_opt_t* opt, const char* value, void* result) {
+  using idempotency::Unvouched;
+  return ParseWord<Unvouched>(cfg, opt, value, result, "pin, defer",
+                              {{"pin", Unvouched::kPin}, {"defer", Unvouched::kDefer}});
+}
+
+// ---- idempotency { ... }
+
+void CheckIdempotency(cfg_t* root) {
+  cfg_set_validate_func(root, "idempotency|memory", Within<64L << 10, 1L << 30, ' ', 'b'>);
+  cfg_set_validate_func(root, "idempotency|keep", Within<1'000, 3'600'000, 'm', 's'>);
+  cfg_set_validate_func(root, "idempotency|max_waiters", Within<1, 4'096>);
+  cfg_set_validate_func(root, "idempotency|datagrams_per_second", Within<1, 100'000>);
+  cfg_set_validate_func(root, "idempotency|peer_silent", Within<100, 60'000, 'm', 's'>);
+}
+
+idempotency::Limits DecodeIdempotency(cfg_t* block) {
+  idempotency::Limits out;
+  out.enabled = cfg_getbool(block, "enabled") == cfg_true;
+  out.memory = static_cast<std::size_t>(cfg_getint(block, "memory"));
+  out.keep = std::chrono::milliseconds(cfg_getint(block, "keep"));
+  out.customer_share = cfg_getfloat(block, "customer_share");
+  out.max_waiters = static_cast<std::size_t>(cfg_getint(block, "max_waiters"));
+  out.when_full = static_cast<idempotency::WhenFull>(cfg_getint(block, "when_full"));
+  out.unvouched = static_cast<idempotency::Unvouched>(cfg_getint(block, "unvouched"));
+  out.datagrams_per_second = static_cast<std::size_t>(cfg_getint(block, "datagrams_per_second"));
+  out.peer_silent = std::chrono::milliseconds(cfg_getint(block, "peer_silent"));
+  return out;
+}
+
+}  // namespace
+
+OperatorFile Decode(const std::string& text, const std::string& name) {
+  const idempotency::Limits keys;
+  cfg_opt_t idempotency_block[] = {
+      CFG_BOOL_CB("enabled", keys.enabled ? cfg_true : cfg_false, CFGF_NONE, ParseFlag),
+      CFG_INT_CB("memory", static_cast<long>(keys.memory), CFGF_NONE, ParseSize),
+      CFG_INT_CB("keep", keys.keep.count(), CFGF_NONE, ParseSpan),
+      CFG_FLOAT_CB("customer_share", keys.customer_share, CFGF_NONE, ParseShare),
+      CFG_INT_CB("max_waiters", static_cast<long>(keys.max_waiters), CFGF_NONE, ParseCount),
+      CFG_INT_CB("when_full", static_cast<long>(keys.when_full), CFGF_NONE, ParseWhenFull),
+      CFG_INT_CB("unvouched", static_cast<long>(keys.unvouched), CFGF_NONE, ParseUnvouched),
+      CFG_INT_CB("datagrams_per_second", static_cast<long>(keys.datagrams_per_second), CFGF_NONE, ParseCount),
+      CFG_INT_CB("peer_silent", keys.peer_silent.count(), CFGF_NONE, ParseSpan),
+      CFG_END()};
+  cfg_opt_t blocks[] = {CFG_SEC("idempotency", idempotency_block, CFGF_NONE),
+                        CFG_BOOL(kEnd, cfg_false, CFGF_NONE), CFG_END()};
+
+  const ConfigHandle root(cfg_init(blocks, CFGF_NONE));
+  if (!root) throw OperatorError(name + ": not enough memory to read it");
+  ErrorSink sink{name, {}};
+  error_sink = &sink;
+  cfg_set_error_function(root.get(), KeepError);
+  CheckIdempotency(root.get());
+  const bool is_text = text.find('\0') == std::string::npos;
+  const int result =
+      is_text ? cfg_parse_buf(root.get(), (text + "\n" + kEnd + " = true\n").c_str()) : CFG_FILE_ERROR;
+  error_sink = nullptr;
+  if (sink.fault.find(kEnd) != std::string::npos) throw OperatorError(name + ": a block is not closed");
+  if (result != CFG_SUCCESS) {
+    throw OperatorError(sink.fault.empty() ? name + ": not a text file" : sink.fault);
+  }
+  return {.idempotency = DecodeIdempotency(cfg_getsec(root.get(), "idempotency"))};
+}
+
+OperatorFile Load(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) throw OperatorError(path + ": can't be read");
+  if (text.view().size() > kMaxFile) throw OperatorError(path + ": is longer than 1 MiB");
+  return Decode(text.str(), path);
+}
+
+}  // namespace postspread::operator_file
--- /dev/null
+++ b/tests/operator_test.cpp
@@ -0,0 +1,75 @@
+// The operator file: defaults, what is read, and faults that name file, line and key.
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "operator/operator_file.h"
+
+namespace postspread::operator_file {
+namespace {
+
+std::string Fault(const std::string& text) {
+  try {
+    Decode(text, "op.conf");
+  } catch (const OperatorError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST_CASE("an empty operator file leaves everything as it is without one") {
+  CHECK(Decode("", "op.conf") == OperatorFile{});
+  CHECK_FALSE(Decode("# nothing\n", "op.conf").idempotency.enabled);
+}
+
+TEST_CASE("the file under deploy/ says the defaults and switches nothing on") {
+  CHECK(Load(DEPLOY_DIR "/operator.conf") == OperatorFile{});
+}
+
+TEST_CASE("what an operator writes is what the store gets, units and all") {
+  const idempotency::Limits limits =
+      Decode(
+          "idempotency {\n enabled = true\n memory = 512kb\n keep = 2m\n customer_share = 0.5\n"
+          " max_waiters = 3\n when_full = pass\n unvouched = defer\n datagrams_per_second = 2000\n"
+          " peer_silent = 1s\n}\n",
+          "op.conf")
+          .idempotency;
+  CHECK(limits.enabled);
+  CHECK(limits.memory == 512U * 1024U);
+  CHECK(limits.keep == std::chrono::minutes(2));
+  CHECK(limits.customer_share == 0.5);
+  CHECK(limits.max_waiters == 3);
+  CHECK(limits.when_full == idempotency::WhenFull::kPass);
+  CHECK(limits.unvouched == idempotency::Unvouched::kDefer);
+  CHECK(limits.datagrams_per_second == 2'000);
+  CHECK(limits.peer_silent == std::chrono::seconds(1));
+}
+
+TEST_CASE("a fault names file, line and key") {
+  const std::pair<const char*, const char*> faults[] = {
+      {"idempotency {\n keep = 60\n}", "op.conf:2: idempotency.keep is \"60\": a whole number with its unit"},
+      {"idempotency {\n\n memory = 1kb\n}", "op.conf:3: idempotency.memory is out of bounds: from 65536 b"},
+      {"idempotency { keep = 99999999999999999h }", "op.conf:1: idempotency.keep is "},
+      {"idempotency { keep = -5s }", "op.conf:1: idempotency.keep is \"-5s\""},
+      {"idempotency {\n enabled = yes\n}", "op.conf:2: idempotency.enabled is \"yes\": one of true, false"},
+      {"idempotency {\n when_full = drop\n}",
+       "op.conf:2: idempotency.when_full is \"drop\": one of defer, pass"},
+      {"idempotency {\n customer_share = 1.5\n}", "op.conf:2: idempotency.customer_share"},
+      {"idempotency {\n max_waiters = many\n}", "op.conf:2: idempotency.max_waiters is \"many\""},
+      {"idempotency {\n keep = 5s\n keep = 6s\n}", "op.conf:3: idempotency.keep is given twice"},
+      {"idempotency {\n kept = 5s\n}", "op.conf:2: no such option 'kept'"},
+      {"\nquotas { }", "op.conf:2: no such option 'quotas'"},
+      {"idempotency {\n keep = 5s\n", "op.conf: a block is not closed"},
+  };
+  for (const auto& [text, fault] : faults) {
+    INFO(text);
+    CHECK(Fault(text).find(fault) == 0);
+  }
+  CHECK(Fault(std::string("a\0b", 3)).find("op.conf: not a text file") == 0);
+  CHECK_THROWS_WITH(Load("no-such-file.conf"), "no-such-file.conf: can't be read");
+}
+
+}  // namespace
+}  // namespace postspread::operator_file
