--- /dev/null
+++ b/bench/idempotency.cpp
@@ -0,0 +1,632 @@
+// Measures the store of keys: three real gatekeepers among stand-ins on loopback, clients that send changes
+// again at once and through random gatekeepers, datagrams lost, one gatekeeper killed and restarted, one node
+// killed. Then the cost: the same traffic without repeats to gatekeepers with the store and without it.
+//
+// Promises, each of which ends it with 1 where broken: no change is made twice; no two answers to one change
+// differ; no request that a living gatekeeper took is left without answer; memory stays in its bound; with
+// every process up 99 in 100 changes end with a definite answer; the store costs 5 in 100 of CPU at most.
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include "partners/platform.h"
+
+extern char** environ;
+
+namespace postspread::bench {
+namespace {
+
+using namespace partners;
+using nlohmann::json;
+using std::chrono::seconds;
+
+constexpr int kGatekeepers = 3, kPods = 3, kNodesEach = 3, kFirms = 300;
+constexpr milliseconds kPatience{4'000};
+constexpr milliseconds kLate{1'500};  // after a client's patience: by then an answer counts as never come
+
+struct Options {
+  int changes = 20'000;
+  bool is_short = false, skip_cost = false;
+  std::uint64_t seed = 1;
+  std::string without;
+  double rate = 150;       // changes a second
+  int cost_s = 40;         // of the second part
+  double cost_rate = 300;  // requests a second to each of the two groups
+};
+
+// Three gatekeepers as processes.
+class Group {
+ public:
+  Group(event_base* base, const std::filesystem::path& folder, const std::string& name, bool with_store,
+        const json& known, const std::string& discovery, const std::string& counter, std::uint64_t seed)
+      : folder_(folder), name_(name), with_store_(with_store), datagrams(base, kGatekeepers, seed) {
+    for (int i = 0; i < kGatekeepers; ++i) {
+      ports_.push_back(FreePort());
+      pids_.push_back(-1);
+      json settings = {
+          {"Classes",
+           {{{"Name", "calendar-read"}, {"Aim", 800'000}, {"HardLimit", 3'000'000}, {"Effect", "safe"}},
+            {{"Name", "schedule-change"},
+             {"Aim", 2'000'000},
+             {"HardLimit", 8'000'000},
+             {"Effect", "keyed"},
+             {"DedupScope", "cell"},
+             {"KeyTtl", 15'000'000}}}},
+          {"Contracts", {{{"Name", "basic"}, {"PerSecond", 100'000}, {"Depth", 100'000}}}},
+          {"Domain", {{"SharedCounter", true}, {"CountLimit", 100'000}, {"MaxUnits", 4}}},
+          {"Zones", {"hall-a", "hall-b", "hall-c"}},
+          {"MyZone", std::string("hall-") + static_cast<char>('a' + i)},
+          {"Rank", i},
+          {"GroupSize", kGatekeepers},
+          {"Limits",
+           {{"Cancelling", true},
+            {"MostTries", 4},
+            {"MayTell", true},
+            {"RetryAfter", true},
+            {"MaxRetryAfter", 1'000'000},
+            {"DialTimeout", 500'000},
+            {"ConnIdle", 30'000'000}}},
+          {"Safety", {{"DrainGrace", 250'000}}}};
+      const json config = {{"name", name + std::to_string(i)},
+                           {"listen", Place(ports_.back())},
+                           {"discovery", discovery},
+                           {"counter", counter},
+                           {"seed", std::to_string(seed + static_cast<std::uint64_t>(i))},
+                           {"peer_listen", datagrams.listen(i)},
+                           {"peers", datagrams.peers(i)},
+                           {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", known}}},
+                           {"settings", settings}};
+      std::ofstream(Path(i, ".json")) << config.dump();
+    }
+    std::ofstream(folder_ / (name_ + ".conf"))
+        << "idempotency {\n enabled = true\n keep = 40s\n memory = 8mb\n datagrams_per_second = 2000\n"
+           " customer_share = 0.25\n}\n";
+    for (int i = 0; i < kGatekeepers; ++i) Start(i);
+  }
+  ~Group() {
+    for (const pid_t pid : pids_) {
+      if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
+    }
+  }
+
+  void Start(int rank) {
+    const std::string variable = "ROUTER_CONFIG=" + Path(rank, ".json");
+    std::vector<char*> environment{const_cast<char*>(variable.c_str())};
+    for (char** e = environ; *e != nullptr; ++e) environment.push_back(*e);
+    environment.push_back(nullptr);
+    const std::string file = (folder_ / (name_ + ".conf")).string();
+    std::vector<std::string> words{GATEKEEPER};
+    if (with_store_) words.insert(words.end(), {"--operator", file});
+    std::vector<char*> arguments;
+    for (std::string& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, Path(rank, ".log").c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (posix_spawn(&pids_[static_cast<std::size_t>(rank)], GATEKEEPER, &actions, nullptr, arguments.data(),
+                    environment.data()) != 0) {
+      throw std::runtime_error("can't start " + std::string(GATEKEEPER) + ": build first");
+    }
+    posix_spawn_file_actions_destroy(&actions);
+  }
+  void Kill(int rank) {
+    NoteMemory();
+    pid_t& pid = pids_[static_cast<std::size_t>(rank)];
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    pid = -1;
+  }
+  // Ends all by SIGTERM; true where each ended with 0.
+  bool Stop() {
+    NoteMemory();
+    bool sound = true;
+    for (pid_t& pid : pids_) {
+      if (pid <= 0) continue;
+      kill(pid, SIGTERM);
+    }
+    for (pid_t& pid : pids_) {
+      int status = -1;
+      if (pid <= 0) continue;
+      waitpid(std::exchange(pid, -1), &status, 0);
+      sound = sound && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    }
+    return sound;
+  }
+  bool alive(int rank) const { return pids_[static_cast<std::size_t>(rank)] > 0; }
+  int port(int rank) const { return ports_[static_cast<std::size_t>(rank)]; }
+
+  // Seconds of CPU that the living ones have used.
+  double Cpu() const {
+    double out = 0;
+    for (const pid_t pid : pids_) {
+      std::ifstream file("/proc/" + std::to_string(pid) + "/schedstat");
+      double ns = 0;
+      if (file >> ns) out += ns / 1e9;
+    }
+    return out;
+  }
+  void NoteMemory() {
+    for (const pid_t pid : pids_) {
+      std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+      for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmHWM:")) rss_mb = std::max(rss_mb, std::stod(line.substr(6)) / 1024);
+      }
+    }
+  }
+  // A figure of the log's lines on keys: the last of each life, summed or the largest.
+  double Figure(const std::string& figure, bool largest = false) const {
+    double out = 0;
+    for (int i = 0; i < kGatekeepers; ++i) {
+      std::ifstream file(Path(i, ".log"));
+      double last = 0;
+      const auto close = [&] { out = largest ? std::max(out, last) : out + last, last = 0; };
+      for (std::string line; std::getline(file, line);) {
+        if (line.find("postspread: started") == 0) close();
+        const std::size_t at = line.find(" " + figure + "=");
+        if (line.find("postspread: keys:") == 0 && at != std::string::npos) {
+          last = std::stod(line.substr(at + figure.size() + 2));
+        }
+      }
+      close();
+    }
+    return out;
+  }
+
+  double rss_mb = 0;
+
+ private:
+  std::string Path(int rank, const char* ending) const {
+    return (folder_ / (name_ + std::to_string(rank) + ending)).string();
+  }
+  std::filesystem::path folder_;
+  std::string name_;
+  bool with_store_;
+  std::vector<int> ports_;
+  std::vector<pid_t> pids_;
+
+ public:
+  Datagrams datagrams;
+};
+
+// One connection of a client to a gatekeeper; one request at a time.
+class Client {
+ public:
+  using Done = std::function<void(bool came, std::string answer)>;
+  Client(event_base* base, int port) {
+    const auto address = config::Address::Parse(Place(port));
+    event_ = net::Dial(
+        base, *address, [](bufferevent*, void* self) { static_cast<Client*>(self)->Read(); }, nullptr,
+        [](bufferevent*, short what, void* self) {
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) static_cast<Client*>(self)->End(false, "");
+        },
+        this);
+    if (event_) bufferevent_enable(event_.get(), EV_READ | EV_WRITE);
+  }
+  bool usable() const { return event_ != nullptr && !broken_; }
+  bool busy() const { return done_ != nullptr; }
+  void Ask(const std::string& message, Done done) {
+    done_ = std::move(done);
+    bufferevent_write(event_.get(), message.data(), message.size());
+  }
+
+ private:
+  void Read() {
+    const std::string_view input = net::Peek(event_.get(), net::ReadSize(event_.get()));
+    resp::Reply reply;
+    if (resp::ParseReply(input, reply) != resp::Progress::kWhole) return;
+    std::string text(reply.kind == resp::Reply::Kind::kError ? "-" : "+");
+    text += reply.text;
+    net::Consume(event_.get(), reply.size);
+    End(true, std::move(text));
+  }
+  void End(bool came, std::string answer) {
+    broken_ = broken_ || !came;
+    if (const Done done = std::exchange(done_, nullptr)) done(came, std::move(answer));
+  }
+  net::BufferEvent event_;
+  Done done_;
+  bool broken_ = false;
+};
+
+class Clients {
+ public:
+  Clients(event_base* base, Group& group) : base_(base), group_(group), pools_(kGatekeepers) {}
+  void Ask(int rank, const std::string& message, Client::Done done) {
+    auto& pool = pools_[static_cast<std::size_t>(rank)];
+    std::erase_if(pool, [](const auto& c) { return !c->usable() && !c->busy(); });
+    for (const auto& client : pool) {
+      if (!client->busy() && client->usable()) return client->Ask(message, std::move(done));
+    }
+    pool.push_back(std::make_unique<Client>(base_, group_.port(rank)));
+    if (!pool.back()->usable()) return done(false, "");
+    pool.back()->Ask(message, std::move(done));
+  }
+
+ private:
+  event_base* base_;
+  Group& group_;
+  std::vector<std::vector<std::unique_ptr<Client>>> pools_;
+};
+
+struct Change {
+  std::string customer, key;
+  int open = 0, tries = 0;
+  bool definite = false, refused_only = true, unknown = false;
+  std::string value;
+  Clock::time_point begun, ended;
+};
+
+std::string Hex(std::uint64_t number, int digits) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%0*llx", digits, static_cast<unsigned long long>(number));
+  return text;
+}
+
+class Run {
+ public:
+  Run(const Options& options) : options_(options), base_(net::MakeEventBase()), random_(options.seed) {
+    folder_ = std::filesystem::temp_directory_path() / ("postspread-bench-" + std::to_string(getpid()));
+    std::filesystem::create_directories(folder_);
+  }
+  ~Run() { std::filesystem::remove_all(folder_); }
+
+  int Main() {
+    Repeats();
+    if (options_.without.empty() && !options_.skip_cost) Cost();
+    return Verdict();
+  }
+
+ private:
+  double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  std::string Id() { return Hex(next_id_++, 16); }
+  void Loop(const std::function<bool()>& over) {
+    while (!over()) {
+      timeval tv{0, 20'000};
+      event_base_loopexit(base_.get(), &tv);
+      event_base_dispatch(base_.get());
+    }
+  }
+  void WaitReady(Group& group, Clients& clients) {
+    std::set<int> ready;
+    std::function<void(int)> ping = [&](int rank) {
+      std::string message;
+      resp::AppendCommand({"PING"}, message);
+      clients.Ask(rank, message, [&, rank](bool came, const std::string& answer) {
+        if (came && answer == "+PONG") {
+          ready.insert(rank);
+        } else {
+          After(base_.get(), milliseconds(50), [&, rank] { ping(rank); });
+        }
+      });
+    };
+    for (int i = 0; i < kGatekeepers; ++i) ping(i);
+    const auto limit = Clock::now() + seconds(20);
+    Loop([&] { return ready.size() == kGatekeepers || Clock::now() > limit; });
+    if (ready.size() != kGatekeepers) throw std::runtime_error("the gatekeepers were not ready within 20 s");
+    (void)group;
+  }
+
+  // ---- Part one: repeats and failures ----
+
+  void Repeats() {
+    Nodes nodes(base_.get(), kPods, kNodesEach, options_.seed, seconds(15));
+    Discovery discovery(base_.get());
+    Counter counter(base_.get());
+    discovery.Tell(nodes.Listed(kNodesEach));
+    const bool with_store = options_.without != "store";
+    Group group(base_.get(), folder_, "on", with_store, nodes.Listed(kNodesEach), discovery.place(),
+                counter.place(), options_.seed);
+    group.datagrams.loss = 0.2;
+    group_ = &group;
+    Clients clients(base_.get(), group);
+    clients_ = &clients;
+    WaitReady(group, clients);
+
+    const auto begun = Clock::now();
+    const double length_s = options_.changes / options_.rate;
+    const auto at = [&](double share) {
+      return std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::duration<double>(length_s * share));
+    };
+    bool node_down = false;
+    After(base_.get(), at(0.3), [&] {
+      group.Kill(1);
+      down_.emplace_back(Clock::now(), Clock::now() + seconds(4));
+    });
+    After(base_.get(), at(0.3) + seconds(3), [&] { group.Start(1); });
+    After(base_.get(), at(0.65), [&] {
+      nodes.Kill(4);
+      node_down = true;
+      down_.emplace_back(Clock::now(), Clock::now() + seconds(5));
+      After(base_.get(), seconds(1), [&] { discovery.Tell(nodes.Listed(kNodesEach)); });
+    });
+    After(base_.get(), at(0.65) + seconds(4), [&] {
+      nodes.Restart(4);
+      node_down = false;
+      discovery.Tell(nodes.Listed(kNodesEach));
+    });
+
+    std::function<void()> next = [&] {
+      const double due = std::chrono::duration<double>(Clock::now() - begun).count() * options_.rate;
+      while (static_cast<int>(changes_.size()) < options_.changes &&
+             static_cast<double>(changes_.size()) < due) {
+        Begin();
+      }
+      if (static_cast<int>(changes_.size()) < options_.changes) After(base_.get(), milliseconds(5), next);
+    };
+    next();
+    const auto limit = begun +
+                       std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(length_s)) +
+                       seconds(60);
+    Loop([&] {
+      return (static_cast<int>(changes_.size()) == options_.changes && open_ == 0) || Clock::now() > limit;
+    });
+    unanswered_ += open_;
+    // Late repeats of some, past the pods' window, when nothing else is under way.
+    if (!node_down) LateRepeats();
+    for (const auto& [key, times] : nodes.applied) applied_twice_ += times > 1;
+    applied_ = nodes.changes;
+    dropped_by_pods_ = nodes.repeats_dropped;
+    too_long_ = group.datagrams.too_long;
+    clean_stop_ = group.Stop();
+    rss_mb_ = group.rss_mb;
+    for (const char* name : {"started", "joined", "replayed", "fetched", "resumed", "unknown_told"}) {
+      figures_[name] = group.Figure(name);
+    }
+    store_max_ = group.Figure("bytes_max", true);
+    store_bound_ = group.Figure("bytes_bound", true);
+    clients_ = nullptr;
+    group_ = nullptr;
+  }
+
+  void Begin() {
+    auto change = std::make_shared<Change>();
+    change->customer = Hex(random_() % kFirms + 1, 16);
+    change->key = Hex(random_(), 16);
+    change->begun = Clock::now();
+    changes_.push_back(change);
+    Send(change, true);
+    // Impatient apps: half of the changes are sent again while the first attempt runs or has just finished.
+    if (Chance() < 0.5) {
+      const int more = 1 + static_cast<int>(random_() % 3);
+      for (int i = 0; i < more; ++i) {
+        ++open_;
+        const milliseconds after(static_cast<std::int64_t>(random_() % (Chance() < 0.7 ? 30 : 3'000)));
+        After(base_.get(), after, [this, change] {
+          --open_;
+          Send(change, false);
+        });
+      }
+    }
+  }
+
+  void Send(const std::shared_ptr<Change>& change, bool insists) {
+    ++attempted_;
+    ++open_;
+    ++change->open;
+    ++change->tries;
+    const int rank = static_cast<int>(random_() % kGatekeepers);
+    std::string message;
+    const std::string extras = "c=schedule-change,t=basic,d=" + std::to_string(kPatience.count()) +
+                               ",k=" + change->key + ",units=1,spread=3,first=0";
+    resp::AppendCommand({"API.WRITE", change->customer, Id(), extras, "move to " + change->key}, message);
+    auto ended = std::make_shared<bool>(false);
+    After(base_.get(), kPatience + kLate, [this, ended, change] {
+      if (std::exchange(*ended, true)) return;
+      ++unanswered_;
+      Over(change);
+    });
+    clients_->Ask(rank, message, [this, ended, change, insists](bool came, const std::string& answer) {
+      if (std::exchange(*ended, true)) return;
+      Take(change, insists, came, answer);
+      Over(change);
+    });
+  }
+  void Over(const std::shared_ptr<Change>& change) {
+    --open_;
+    --change->open;
+    change->ended = Clock::now();
+  }
+
+  void Take(const std::shared_ptr<Change>& change, bool insists, bool came, const std::string& answer) {
+    if (came && answer[0] == '+') {
+      if (!change->definite) change->value = answer;
+      different_ += change->definite && change->value != answer;
+      change->definite = true;
+      return;
+    }
+    const bool refused = came && answer.starts_with("-BUSY");
+    const bool unknown = came && answer.starts_with("-ERR outcome unknown");
+    if (came && !refused) {
+      unknown_told_ += unknown;
+      if (!unknown) ++errors_[answer];
+    }
+    // The client that began it comes again until it knows.
+    if (!insists || change->definite || change->tries > 12 || Clock::now() - change->begun > seconds(12))
+      return;
+    ++open_;
+    const milliseconds after =
+        refused && answer.size() > 6 ? milliseconds(std::stol(answer.substr(6))) : milliseconds(50);
+    After(base_.get(), after, [this, change] {
+      --open_;
+      Send(change, true);
+    });
+  }
+
+  void LateRepeats() {
+    const auto until = Clock::now() + seconds(options_.is_short ? 0 : 16);
+    std::vector<std::shared_ptr<Change>> late;
+    for (std::size_t i = changes_.size() > 200 ? changes_.size() - 200 : 0; i < changes_.size(); ++i) {
+      late.push_back(changes_[i]);
+    }
+    Loop([&] { return Clock::now() >= until; });
+    for (const auto& change : late) Send(change, false);
+    Loop([&] { return open_ == 0; });
+  }
+
+  // ---- Part two: what the store costs ----
+
+  void Cost() {
+    Nodes nodes(base_.get(), kPods, kNodesEach, options_.seed, seconds(15));
+    Discovery discovery(base_.get());
+    Counter counter(base_.get());
+    discovery.Tell(nodes.Listed(kNodesEach));
+    Group on(base_.get(), folder_, "cost-on", true, nodes.Listed(kNodesEach), discovery.place(),
+             counter.place(), options_.seed);
+    Group off(base_.get(), folder_, "cost-off", false, nodes.Listed(kNodesEach), discovery.place(),
+              counter.place(), options_.seed);
+    on.datagrams.most_delay = milliseconds(5);
+    Clients on_clients(base_.get(), on), off_clients(base_.get(), off);
+    WaitReady(on, on_clients);
+    WaitReady(off, off_clients);
+    const double on_before = on.Cpu(), off_before = off.Cpu();
+    const auto begun = Clock::now();
+    const int total = static_cast<int>(options_.cost_rate * options_.cost_s);
+    int sent = 0, open = 0, served = 0;
+    std::function<void()> next = [&] {
+      const double due = std::chrono::duration<double>(Clock::now() - begun).count() * options_.cost_rate;
+      for (; sent < total && sent < due; ++sent) {
+        const int rank = static_cast<int>(random_() % kGatekeepers);
+        const std::string customer = Hex(random_() % kFirms + 1, 16), key = Hex(random_(), 16);
+        const bool is_change = Chance() < 0.23;  // the site's mix
+        for (Clients* clients : {&on_clients, &off_clients}) {
+          std::string message;
+          const std::string more = ",units=1,spread=3,first=0";
+          if (is_change) {
+            const std::string side = clients == &on_clients ? "1" : "2";
+            resp::AppendCommand({"API.WRITE", customer, Id(),
+                                 "c=schedule-change,t=basic,d=4000,k=" + key + side + more, "move"},
+                                message);
+          } else {
+            resp::AppendCommand({"API.READ", customer, Id(), "c=calendar-read,t=basic,d=3000" + more},
+                                message);
+          }
+          ++open;
+          clients->Ask(rank, message, [&](bool came, const std::string& answer) {
+            --open;
+            served += came && answer[0] == '+';
+          });
+        }
+      }
+      if (sent < total) After(base_.get(), milliseconds(2), next);
+    };
+    next();
+    const auto limit = begun + seconds(options_.cost_s + 20);
+    Loop([&] { return (sent == total && open == 0) || Clock::now() > limit; });
+    cpu_on_ = (on.Cpu() - on_before) / total;
+    cpu_off_ = (off.Cpu() - off_before) / total;
+    cost_served_ = static_cast<double>(served) / (2.0 * total);
+    on.Stop();
+    off.Stop();
+  }
+
+  int Verdict() {
+    int definite = 0, counted = 0;
+    for (const auto& change : changes_) {
+      const bool disturbed = std::any_of(down_.begin(), down_.end(), [&](const auto& d) {
+        return change->begun < d.second && change->ended > d.first;
+      });
+      if (disturbed) continue;
+      ++counted;
+      definite += change->definite;
+    }
+    const double answered = counted == 0 ? 0 : static_cast<double>(definite) / counted;
+    const double ratio = cpu_off_ > 0 ? cpu_on_ / cpu_off_ : 0;
+    for (const auto& [answer, times] : errors_) std::cout << times << " x " << answer << "\n";
+    std::vector<std::string> broken;
+    const auto must = [&](bool held, const std::string& sentence) {
+      if (!held) broken.push_back(sentence);
+    };
+    must(applied_twice_ == 0, std::to_string(applied_twice_) + " changes were made twice");
+    must(different_ == 0, std::to_string(different_) + " answers differ from another one to the same change");
+    must(unanswered_ == 0, std::to_string(unanswered_) + " requests were never answered");
+    must(too_long_ == 0, "datagrams were longer than 256 bytes");
+    must(clean_stop_, "a gatekeeper did not end with 0 at SIGTERM");
+    must(answered >= 0.99,
+         "only " + std::to_string(answered) + " of the changes ended with a definite answer");
+    if (options_.without.empty()) {
+      must(store_max_ > 0 && store_max_ <= store_bound_, "the store took more bytes than its bound");
+    }
+    if (options_.without.empty() && !options_.skip_cost) {
+      must(ratio > 0 && ratio <= 1.05, "the store costs too much CPU: ratio " + std::to_string(ratio));
+      must(cost_served_ > 0.99, "the traffic of the second part was not served");
+    }
+    for (const std::string& sentence : broken) std::cout << "broken: " << sentence << "\n";
+    const json out = {{"changes", options_.changes},
+                      {"attempted", attempted_},
+                      {"applied", applied_},
+                      {"applied_twice", applied_twice_},
+                      {"different_answers", different_},
+                      {"unanswered", unanswered_},
+                      {"unknown_told", unknown_told_},
+                      {"replayed", figures_["replayed"]},
+                      {"joined", figures_["joined"]},
+                      {"fetched", figures_["fetched"]},
+                      {"resumed", figures_["resumed"]},
+                      {"dropped_by_pods", dropped_by_pods_},
+                      {"store_bytes_max", store_max_},
+                      {"store_bytes_bound", store_bound_},
+                      {"rss_mb_max", rss_mb_},
+                      {"cpu_us_on", cpu_on_ * 1e6},
+                      {"cpu_us_off", cpu_off_ * 1e6},
+                      {"cpu_ratio", ratio},
+                      {"answered_share", answered},
+                      {"answered_of", counted},
+                      {"seed", options_.seed},
+                      {"held", broken.empty()}};
+    std::cout << out.dump() << std::endl;
+    return broken.empty() ? 0 : 1;
+  }
+
+  Options options_;
+  net::EventBase base_;
+  std::mt19937_64 random_;
+  std::filesystem::path folder_;
+  Group* group_ = nullptr;
+  Clients* clients_ = nullptr;
+  std::uint64_t next_id_ = 1;
+  std::vector<std::shared_ptr<Change>> changes_;
+  std::vector<std::pair<Clock::time_point, Clock::time_point>> down_;
+  std::map<std::string, int> errors_;
+  std::map<std::string, double> figures_;
+  int open_ = 0;
+  std::uint64_t attempted_ = 0, applied_ = 0, applied_twice_ = 0, different_ = 0, unknown_told_ = 0,
+                dropped_by_pods_ = 0, too_long_ = 0;
+  std::int64_t unanswered_ = 0;
+  bool clean_stop_ = false;
+  double store_max_ = 0, store_bound_ = 0, rss_mb_ = 0, cpu_on_ = 0, cpu_off_ = 0, cost_served_ = 0;
+};
+
+}  // namespace
+}  // namespace postspread::bench
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  postspread::bench::Options options;
+  CLI::App app("Measures the store of keys; prints its figures as one JSON object on the last line");
+  app.add_flag("--short", options.is_short, "2,000 changes, under 60 s");
+  app.add_flag("--skip-cost", options.skip_cost, "Leaves out the second part, which measures CPU");
+  app.add_option("--seed", options.seed, "Random numbers");
+  app.add_option("--without", options.without, "Switches a defence off")->check(CLI::IsMember({"store"}));
+  CLI11_PARSE(app, argc, argv);
+  if (options.is_short) options.changes = 2'000, options.cost_s = 15;
+  try {
+    return postspread::bench::Run(options).Main();
+  } catch (const std::exception& error) {
+    std::cout << "broken: " << error.what() << "\n{\"held\":false}" << std::endl;
+    return 1;
+  }
+}
--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -139,6 +140,15 @@
   std::shared_ptr<const std::vector<ServerInfo>> servers;  // null for kError
 };
 
+// What an idempotency key has bound a request to before it came here.
+struct KeyPin {
+  bool bound = false;  // to the servers of one scope, by its class: that cell, or that zone
+  std::int64_t cell = 0;
+  std::string zone;
+  bool may_have_run = false;  // an earlier request under the key, sent `age` ago, may have run
+  Duration age{0};
+};
+
 // A request has come in. It is owed one final answer within time_left. Ids are never used again.
 struct RequestEvent {
   RequestId id = 0;
@@ -151,6 +161,7 @@
   int first_gateway = 0;  // ... from this one, counted round
   bool retry = false;
   bool write = false;
+  std::optional<KeyPin> pin;  // keyed classes only
 };
 
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kNotSent };
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -69,6 +69,12 @@
         file_wins ? TextOr(from, "discovery") : Choose(from, "discovery", environment, "ROUTER_DISCOVERY"),
         "discovery");
     out.seed = ToSeed(from);
+    if (const json* listen = Find(from, "peer_listen"); listen != nullptr && listen->is_string()) {
+      out.peer_listen = listen->get<std::string>();
+    }
+    if (const json* peers = Find(from, "peers"); peers != nullptr && peers->is_array()) {
+      for (const json& peer : *peers) out.peers.push_back(peer.is_string() ? peer.get<std::string>() : "");
+    }
     const json& limits = Part(from, "limits");
     Within("limits", [&] {
       out.memory_mb = static_cast<std::size_t>(Limit(limits, "memory_mb", kLeastMemoryMb, 192));
@@ -93,6 +99,17 @@
   });
 }
 
+std::optional<Peers> ToPeers(const Config& config) {
+  if (!config.settings.can_tell || config.peer_listen.empty() || config.peers.empty()) return std::nullopt;
+  if (std::ssize(config.peers) != config.settings.group_size) {
+    throw ConfigError("\"peers\" names " + std::to_string(config.peers.size()) +
+                      " gatekeepers, the settings " + std::to_string(config.settings.group_size));
+  }
+  Peers out{.listen = ToAddress(config.peer_listen, "peer_listen"), .all = {}};
+  for (const std::string& peer : config.peers) out.all.push_back(ToAddress(peer, "peers"));
+  return out;
+}
+
 namespace {
 
 std::string ReadFile(const Environment& environment) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/address.h"
 #include "config/roster.h"
@@ -28,6 +29,9 @@
   Address listen;
   Address discovery;
   std::optional<Address> counter;  // nothing: the site has none
+  // As given, for subsystems that talk to the other gatekeepers: ToPeers reads them.
+  std::string peer_listen;
+  std::vector<std::string> peers;
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
@@ -37,6 +41,14 @@
   std::size_t max_open = 0;               // envelopes held at once
 };
 
+// Where the gatekeepers of the group are reached by datagrams.
+struct Peers {
+  Address listen;
+  std::vector<Address> all;  // by rank, the own one included
+};
+// Nothing where the settings do not allow messages, or the configuration names nobody. Throws ConfigError.
+std::optional<Peers> ToPeers(const Config& config);
+
 using Environment = std::function<const char*(const char* name)>;
 
 // Reads ROUTER_CONFIG and the variables beside it; a variable wins over the file's key. Throws ConfigError.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -163,6 +163,8 @@
     Grant grant = Grant::kNone;
     bool retry = false;   // a client's repeat: part of its aim is gone
     bool resend = false;  // the open attempt is being cancelled so that another can go out
+    std::optional<KeyPin> pin;
+    TimePoint key_until{0};  // with a pin by an earlier request that may have run
     std::vector<Attempt> attempts;
   };
 
@@ -247,6 +249,8 @@
     r.customer = e.customer;
     r.units = std::max(0.0, e.units);
     marked_ |= r.retry = e.retry;
+    r.pin = e.pin;
+    if (r.pin) r.key_until = now_ - r.pin->age + Cls(r).key_ttl;
     r.deadline = now_ + e.time_left;
     r.aim_at = now_ + std::min(Cls(r).aim, e.time_left);
     Do(SetTimer{std::max(Duration(0), e.time_left - set_.tick), Token(kDeadlineDue, r.id)});
@@ -610,6 +614,9 @@
 
   bool InScope(const Request& r, const Server& s) const {
     const ClassSettings& cls = Cls(r);
+    if (r.pin && r.pin->may_have_run && now_ >= r.key_until) return false;
+    if (r.pin && r.pin->bound && cls.scope == Scope::kZone && s.info.zone != r.pin->zone) return false;
+    if (r.pin && r.pin->bound && cls.scope == Scope::kCell && s.info.cell != r.pin->cell) return false;
     for (const Attempt& a : r.attempts) {
       if (!a.may_have_run) continue;
       if (cls.repeat == Repeat::kUnsafe) return false;
@@ -830,7 +837,9 @@
 
   bool Harmless(const Request& r) const {
     const auto& tries = r.attempts;
-    return std::none_of(tries.begin(), tries.end(), [](const Attempt& a) { return a.may_have_run; }) ||
+    const bool before = r.pin && r.pin->may_have_run;
+    const auto ran = [](const Attempt& a) { return a.may_have_run; };
+    return (!before && std::none_of(tries.begin(), tries.end(), ran)) ||
            Cls(r).repeat == Repeat::kSafe || (Cls(r).repeat == Repeat::kKeyed && Cls(r).scope == Scope::kAll);
   }
 
--- a/src/envelope.h
+++ b/src/envelope.h
@@ -18,6 +18,8 @@
   int first = 0;          // ... from this number, counted round
   bool is_retry = false;  // the sender says that it asks again
   bool is_write = false;
+  std::string_view key{};   // that marks repeats; empty: its class has none
+  std::string_view body{};  // what the request carries
 };
 
 }  // namespace postspread
--- a/src/idempotency/limits.h
+++ b/src/idempotency/limits.h
@@ -22,6 +22,7 @@
   std::size_t max_waiters = 64;            // repeats that wait for one key
   WhenFull when_full = WhenFull::kDefer;
   Unvouched unvouched = Unvouched::kPin;
+  std::size_t witnesses = 2;  // gatekeepers of a customer's set that note a key down before its work begins
   std::size_t datagrams_per_second = 20;         // to each peer, at most
   std::chrono::milliseconds peer_silent{1'500};  // of a peer that is asked and does not answer: it is away
   bool operator==(const Limits&) const = default;
--- /dev/null
+++ b/src/idempotency/peers.cpp
@@ -0,0 +1,92 @@
+#include "idempotency/peers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace postspread::idempotency {
+namespace {
+
+constexpr std::size_t kMaxWaiting = 512;
+// Datagrams without any answer after which silence is no accident: at one lost in five each way, eleven in a
+// million such runs are.
+constexpr int kUnanswered = 12;
+constexpr Duration kAwayLook{250'000};  // between two datagrams to a peer that is away
+constexpr double kBurstS = 0.1;         // of the pace: may go at once after a rest
+
+}  // namespace
+
+Peers::Peers(int own_rank, int group_size, std::uint64_t life, const Limits& limits)
+    : limits_(limits),
+      own_{static_cast<std::uint8_t>(own_rank), life},
+      peers_(static_cast<std::size_t>(std::clamp(group_size, 1, kMaxPeers))) {}
+
+void Peers::Queue(int rank, const Record& record, bool wants_answer, TimePoint now) {
+  if (rank < 0 || rank >= static_cast<int>(peers_.size()) || rank == own_.rank) return;
+  Peer& peer = peers_[static_cast<std::size_t>(rank)];
+  // To one that is away only a look now and then: it would find a full queue when it comes back.
+  if (Away(rank, now) && (!peer.queue.empty() || now - peer.last_sent < kAwayLook)) return;
+  if (peer.queue.size() >= kMaxWaiting) {
+    ++dropped_;
+    return;
+  }
+  peer.queue.push_back({EncodeRecord(record), wants_answer});
+}
+
+bool Peers::Heard(int rank, std::uint64_t life, TimePoint) {
+  if (rank < 0 || rank >= static_cast<int>(peers_.size()) || rank == own_.rank) return false;
+  Peer& peer = peers_[static_cast<std::size_t>(rank)];
+  if (life < peer.life) return false;
+  peer.life = life;
+  peer.unanswered = 0;
+  return true;
+}
+
+bool Peers::Away(int rank, TimePoint now) const {
+  const Peer& peer = peers_[static_cast<std::size_t>(rank)];
+  return peer.unanswered >= kUnanswered && now - peer.unanswered_since >= limits_.peer_silent;
+}
+
+std::uint64_t Peers::Life(int rank) const { return peers_[static_cast<std::size_t>(rank)].life; }
+
+double Peers::Burst() const {
+  return std::max(1.0, static_cast<double>(limits_.datagrams_per_second) * kBurstS);
+}
+
+TimePoint Peers::ReadyAt(const Peer& peer) const {
+  if (peer.tokens >= 1) return peer.filled;
+  const double seconds = (1 - peer.tokens) / static_cast<double>(limits_.datagrams_per_second);
+  return peer.filled + Duration(static_cast<std::int64_t>(seconds * 1e6) + 1);
+}
+
+std::optional<std::string> Peers::Next(int rank, TimePoint now) {
+  Peer& peer = peers_[static_cast<std::size_t>(rank)];
+  if (peer.queue.empty()) return std::nullopt;
+  const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - peer.filled)).count();
+  peer.tokens = std::min(Burst(), peer.tokens + seconds * static_cast<double>(limits_.datagrams_per_second));
+  peer.filled = std::max(peer.filled, now);
+  if (peer.tokens < 1) return std::nullopt;
+  peer.tokens -= 1;
+  std::string records;
+  bool wants_answer = false;
+  while (!peer.queue.empty() &&
+         kHeaderBytes + records.size() + peer.queue.front().bytes.size() <= kMaxDatagram) {
+    records += peer.queue.front().bytes;
+    wants_answer = wants_answer || peer.queue.front().wants_answer;
+    peer.queue.pop_front();
+  }
+  if (wants_answer && peer.unanswered++ == 0) peer.unanswered_since = now;
+  peer.last_sent = now;
+  return Seal(own_, records);
+}
+
+std::optional<TimePoint> Peers::NextFlush() const {
+  std::optional<TimePoint> out;
+  for (const Peer& peer : peers_) {
+    if (peer.queue.empty()) continue;
+    const TimePoint at = ReadyAt(peer);
+    if (!out || at < *out) out = at;
+  }
+  return out;
+}
+
+}  // namespace postspread::idempotency
--- /dev/null
+++ b/src/idempotency/peers.h
@@ -0,0 +1,79 @@
+// The other gatekeepers of the group as the keeper sees them: what waits to be sent to each, at what pace,
+// who answers, and which life each is in. Free of I/O and clock.
+//
+// Bounds: 64 peers; 512 records wait for each at most (the newest is dropped beyond that: every record is
+// either asked for again or only saves a question later).
+#ifndef POSTSPREAD_IDEMPOTENCY_PEERS_H_
+#define POSTSPREAD_IDEMPOTENCY_PEERS_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "idempotency/limits.h"
+#include "idempotency/types.h"
+#include "idempotency/wire.h"
+
+namespace postspread::idempotency {
+
+inline constexpr int kMaxPeers = 64;
+
+class Peers {
+ public:
+  // `life` is higher than that of any earlier start of this gatekeeper.
+  Peers(int own_rank, int group_size, std::uint64_t life, const Limits& limits);
+
+  void SetLimits(const Limits& limits) { limits_ = limits; }
+
+  // Queues a record for a peer. `wants_answer`: it is answered by any live peer.
+  void Queue(int rank, const Record& record, bool wants_answer, TimePoint now);
+
+  // A datagram of this peer has come. False where it is of an earlier life than one already seen.
+  bool Heard(int rank, std::uint64_t life, TimePoint now);
+
+  // The peer was asked often and long enough, and has said nothing.
+  bool Away(int rank, TimePoint now) const;
+  // Of the life last heard of; 0: never heard.
+  std::uint64_t Life(int rank) const;
+
+  // What may be sent by now, sealed; calls `tell(rank, bytes)` for each datagram.
+  template <typename F>
+  void Flush(TimePoint now, F tell) {
+    for (int rank = 0; rank < static_cast<int>(peers_.size()); ++rank) {
+      while (std::optional<std::string> bytes = Next(rank, now)) tell(rank, std::move(*bytes));
+    }
+  }
+  // When Flush is wanted next; nothing: not at all.
+  std::optional<TimePoint> NextFlush() const;
+
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  struct Waiting {
+    std::string bytes;
+    bool wants_answer = false;
+  };
+  struct Peer {
+    std::uint64_t life = 0;
+    std::deque<Waiting> queue;
+    double tokens = 1;  // datagrams that may go now
+    TimePoint filled{0};
+    int unanswered = 0;  // datagrams that wanted an answer since the last one came
+    TimePoint unanswered_since{0};
+    TimePoint last_sent{0};
+  };
+  std::optional<std::string> Next(int rank, TimePoint now);
+  double Burst() const;
+  TimePoint ReadyAt(const Peer& peer) const;
+
+  Limits limits_;
+  Header own_;
+  std::vector<Peer> peers_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace postspread::idempotency
+
+#endif  // POSTSPREAD_IDEMPOTENCY_PEERS_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -41,6 +41,17 @@
   return operator_file::Load(options.operator_path);
 }
 
+// What neither file shows by itself.
+void CheckTogether(const config::Config& config, const operator_file::OperatorFile& operators) {
+  if (!operators.idempotency.enabled) return;
+  for (const postspread::ClassSettings& cls : config.settings.classes) {
+    if (cls.repeat != postspread::Repeat::kKeyed || operators.idempotency.keep >= cls.key_ttl) continue;
+    throw config::ConfigError("idempotency.keep is shorter than the KeyTtl of class \"" + cls.name + "\", " +
+                              std::to_string(cls.key_ttl.count() / 1000) + "ms");
+  }
+  config::ToPeers(config);
+}
+
 struct Program {
   const Options& options;
   std::optional<net::Gatekeeper> gatekeeper;
@@ -51,6 +62,7 @@
   try {
     const config::Config config = config::Reload(Variable);
     const operator_file::OperatorFile operators = ReadOperatorFile(program.options);
+    CheckTogether(config, operators);
     const bool more = program.gatekeeper->Reload(config, operators);
     net::Log("configuration read again", Partners(config));
     if (more) net::Log("configuration changed beyond that", "the rest holds from the next start on");
@@ -75,6 +87,7 @@
   for (const auto* handle : {&term, &interrupt, &hang_up}) event_add(handle->get(), nullptr);
   const config::Config config = config::Load(Variable);
   const operator_file::OperatorFile operators = ReadOperatorFile(options);
+  CheckTogether(config, operators);
   program.gatekeeper.emplace(base.get(), config, operators);
   net::Log("started", config.name + " on " + config.listen.text());
   event_base_dispatch(base.get());
@@ -85,7 +98,7 @@
 // Reads and checks both files as a start would, and serves nothing.
 int Check(const Options& options) {
   const config::Config config = config::Load(Variable);
-  ReadOperatorFile(options);
+  CheckTogether(config, ReadOperatorFile(options));
   net::Log("configuration is sound", config.name + " on " + config.listen.text());
   return EXIT_SUCCESS;
 }
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -12,10 +12,11 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kSettle{1'000};     // for discovery and the counter to answer after the start
-constexpr milliseconds kKeepServing{500};  // after SIGTERM new connections go on coming for a while
-constexpr milliseconds kDrainCheck{20};    // between two looks whether all is answered
-constexpr milliseconds kRetireCheck{50};   // between two looks whether an old counter is done with
+constexpr milliseconds kSettle{1'000};         // for discovery and the counter to answer after the start
+constexpr milliseconds kKeepServing{500};      // after SIGTERM new connections go on coming for a while
+constexpr milliseconds kDrainCheck{20};        // between two looks whether all is answered
+constexpr milliseconds kRetireCheck{50};       // between two looks whether an old counter is done with
+constexpr std::chrono::seconds kKeysLine{10};  // between two lines about the store of keys
 constexpr std::size_t kOtherSockets =
     16;  // log, loop, listener, discovery, counter and what the library holds
 constexpr std::size_t kBytesPerMb = 1 << 20;
@@ -36,6 +37,12 @@
   return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch());
 }
 
+std::optional<config::Peers> PeersOf(const config::Config& config,
+                                     const operator_file::OperatorFile& operators) {
+  if (!operators.idempotency.enabled) return std::nullopt;
+  return config::ToPeers(config);
+}
+
 std::size_t Sockets(const config::Config& config) { return config.sockets - kOtherSockets; }
 
 }  // namespace
@@ -45,13 +52,15 @@
     : base_(base),
       config_(config),
       operators_(operators),
-      planner_(config.settings, config.seed, WallNow(), Clock::now()),
+      planner_(config.settings, config.seed, WallNow(), Clock::now(),
+               {.keys = operators.idempotency, .has_peers = PeersOf(config, operators).has_value()}),
       max_open_(config.max_open),
       max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
       drain_(base, [this] { DrainStage(); }),
       retire_(base, [this] { CloseRetired(); }),
+      keys_(base, [this] { LogKeys(); }),
       pool_(base,
             {.dial_timeout = config.settings.dial_timeout,
              .idle = config.hop_idle,
@@ -65,6 +74,13 @@
     RosterCame(std::move(roster), scope);
   });
   settle_.Arm(kSettle);
+  if (planner_.keeper() == nullptr) return;
+  if (std::optional<config::Peers> peers = PeersOf(config, operators)) {
+    peers_.emplace(base, peers->listen, std::move(peers->all), [this](int rank, std::string_view bytes) {
+      Report(planner::PeerReport{rank, std::string(bytes)});
+    });
+  }
+  keys_.Arm(kKeysLine);
 }
 
 bool Gatekeeper::Ready() const {
@@ -90,13 +106,22 @@
 }
 
 void Gatekeeper::SenderGone(planner::EnvelopeNumber number) {
-  if (Release(number)) Report(planner::SenderGone{number});
+  const auto found = held_.find(number);
+  if (found == held_.end()) return;
+  found->second.recipient = nullptr;
+  if (!planner_.Holds(number)) Release(number);
+  Report(planner::SenderGone{number});
 }
 
 void Gatekeeper::AttemptEnded(const planner::AttemptReport& report, std::string_view value) {
   if (report.result == planner::AttemptResult::kServed) {
-    if (const std::optional<Held> held = Release(report.envelope))
-      held->recipient->Serve(held->ticket, value);
+    if (planner_.Keeps(report.envelope)) {
+      planner::AttemptReport kept = report;
+      kept.value = value;
+      return Report(std::move(kept));
+    }
+    const std::optional<Held> held = Release(report.envelope);
+    if (held && held->recipient != nullptr) held->recipient->Serve(held->ticket, value);
   }
   Report(report);
 }
@@ -182,13 +207,25 @@
 }
 
 void Gatekeeper::Do(planner::Defer& step) {
-  if (const std::optional<Held> held = Release(step.envelope)) {
-    held->recipient->Defer(held->ticket, std::chrono::ceil<milliseconds>(step.retry_after));
-  }
+  const std::optional<Held> held = Release(step.envelope);
+  if (!held || held->recipient == nullptr) return;
+  held->recipient->Defer(held->ticket, std::chrono::ceil<milliseconds>(step.retry_after));
 }
 
 void Gatekeeper::Do(planner::Fail& step) {
-  if (const std::optional<Held> held = Release(step.envelope)) held->recipient->Fail(held->ticket);
+  const std::optional<Held> held = Release(step.envelope);
+  if (held && held->recipient != nullptr) held->recipient->Fail(held->ticket, step.reason);
+}
+
+void Gatekeeper::Do(planner::Serve& step) {
+  const std::optional<Held> held = Release(step.envelope);
+  if (held && held->recipient != nullptr) held->recipient->Serve(held->ticket, *step.value);
+}
+
+void Gatekeeper::Do(planner::Forget& step) { Release(step.envelope); }
+
+void Gatekeeper::Do(planner::Tell& step) {
+  if (peers_) peers_->Send(step.rank, step.bytes);
 }
 
 void Gatekeeper::Do(planner::Abandon& step) { pool_.Abandon({step.envelope, step.attempt}); }
@@ -221,10 +258,13 @@
     retire_.Arm(kRetireCheck);
   }
   if (!(discovery_->address() == config.discovery)) discovery_->MoveTo(config.discovery);
+  planner_.SetLimits(operators.idempotency);
+  const bool keys_differ = operators.idempotency.enabled != operators_.idempotency.enabled ||
+                           operators.idempotency.memory != operators_.idempotency.memory;
   return config.name != config_.name || !(config.listen == config_.listen) ||
          config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
          config.settings != config_.settings || config.hop_idle != config_.hop_idle ||
-         config.max_open != config_.max_open || operators != operators_;
+         config.max_open != config_.max_open || keys_differ;
 }
 
 // A counter that was left goes once it owes nothing and another is up in its place, or once it is lost.
@@ -237,6 +277,16 @@
   if (counters_.size() > 1) retire_.Arm(kRetireCheck);
 }
 
+// What the store of keys did since the last line; nothing where it did nothing.
+void Gatekeeper::LogKeys() {
+  keys_.Arm(kKeysLine);
+  idempotency::Keeper& keeper = *planner_.keeper();
+  const idempotency::Counts& counts = keeper.counts();
+  if (counts == keys_told_) return;
+  Log("keys", idempotency::Summary(counts, keeper.size(), keeper.used(), keeper.peak(), keeper.bound()));
+  keys_told_ = counts;
+}
+
 void Gatekeeper::Drain() {
   if (std::exchange(drain_begun_, true)) return;
   Log("draining", "told to stop");
@@ -246,6 +296,7 @@
 void Gatekeeper::DrainStage() {
   sender_side_.Drain();
   if (sender_side_.empty()) {
+    if (planner_.keeper() != nullptr) LogKeys();
     event_base_loopbreak(base_);
     return;
   }
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -15,6 +15,7 @@
 #include "net/counter_client.h"
 #include "net/discovery_watch.h"
 #include "net/next_hop_pool.h"
+#include "net/peer_link.h"
 #include "net/sender_side.h"
 #include "operator/operator_file.h"
 #include "planner/planner.h"
@@ -40,7 +41,7 @@
  private:
   struct Held {  // an envelope that is owed its final answer
     resp::Letter letter;
-    Recipient* recipient = nullptr;
+    Recipient* recipient = nullptr;  // null: its sender has gone, and its work goes on for others
     Recipient::Ticket ticket = 0;
   };
 
@@ -65,6 +66,9 @@
   void Do(planner::Deliver& step);
   void Do(planner::Defer& step);
   void Do(planner::Fail& step);
+  void Do(planner::Serve& step);
+  void Do(planner::Forget& step);
+  void Do(planner::Tell& step);
   void Do(planner::Abandon& step);
   void Do(planner::AskCounter& step);
   void Do(planner::ProbeHop& step);
@@ -72,6 +76,7 @@
   void DrainStage();
   void DialCounter(const config::Address& address);
   void CloseRetired();
+  void LogKeys();
 
   event_base* base_;
   config::Config config_;
@@ -89,6 +94,8 @@
   Timer settle_;
   Timer drain_;
   Timer retire_;
+  Timer keys_;
+  idempotency::Counts keys_told_;  // at the last line about the store of keys
   bool settled_ = false;
   bool drain_begun_ = false;
   std::size_t ready_hops_ = 0;
@@ -97,6 +104,7 @@
   std::list<CounterClient> counters_;  // the last is the configuration's; those before it are being left
   SenderSide sender_side_;
   std::optional<DiscoveryWatch> discovery_;
+  std::optional<PeerLink> peers_;
 };
 
 }  // namespace postspread::net
--- /dev/null
+++ b/src/net/peer_link.cpp
@@ -0,0 +1,86 @@
+#include "net/peer_link.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace postspread::net {
+namespace {
+
+constexpr std::size_t kMaxDatagram = 512;  // what is longer is no datagram of ours: cut, it is refused
+constexpr unsigned kDatagramsATurn = 16;   // read before the loop turns to others
+
+bool IsSame(const sockaddr_storage& from, const config::Address& peer) {
+  if (from.ss_family != peer.get()->sa_family) return false;
+  if (from.ss_family == AF_INET) {
+    const auto& a = reinterpret_cast<const sockaddr_in&>(from);
+    const auto& b = *reinterpret_cast<const sockaddr_in*>(peer.get());
+    return a.sin_port == b.sin_port && a.sin_addr.s_addr == b.sin_addr.s_addr;
+  }
+  const auto& a = reinterpret_cast<const sockaddr_in6&>(from);
+  const auto& b = *reinterpret_cast<const sockaddr_in6*>(peer.get());
+  return a.sin6_port == b.sin6_port && std::memcmp(&a.sin6_addr, &b.sin6_addr, sizeof a.sin6_addr) == 0;
+}
+
+}  // namespace
+
+PeerLink::PeerLink(event_base* base, const config::Address& listen, std::vector<config::Address> peers,
+                   OnDatagram on_datagram)
+    : peers_(std::move(peers)), on_datagram_(std::move(on_datagram)) {
+  fd_ = socket(listen.get()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd_ < 0 || bind(fd_, listen.get(), listen.size()) != 0) {
+    if (fd_ >= 0) close(fd_);
+    throw std::runtime_error("can't listen for peers on " + listen.text());
+  }
+  event_.reset(event_new(
+      base, fd_, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<PeerLink*>(self)->Read(); }, this));
+  event_add(event_.get(), nullptr);
+}
+
+PeerLink::~PeerLink() {
+  event_.reset();
+  close(fd_);
+}
+
+void PeerLink::Send(int rank, std::string_view bytes) {
+  if (rank < 0 || rank >= static_cast<int>(peers_.size())) return;
+  const config::Address& peer = peers_[static_cast<std::size_t>(rank)];
+  [[maybe_unused]] const ssize_t sent =
+      sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, peer.get(), peer.size());
+}
+
+void PeerLink::Read() {
+  // One call for all that is there: a second one, only to hear that nothing is left, would cost as much
+  // again.
+  char bytes[kDatagramsATurn][kMaxDatagram];
+  sockaddr_storage from[kDatagramsATurn];
+  iovec parts[kDatagramsATurn];
+  mmsghdr messages[kDatagramsATurn] = {};
+  for (unsigned i = 0; i < kDatagramsATurn; ++i) {
+    parts[i] = {bytes[i], kMaxDatagram};
+    messages[i].msg_hdr.msg_name = &from[i];
+    messages[i].msg_hdr.msg_namelen = sizeof from[i];
+    messages[i].msg_hdr.msg_iov = &parts[i];
+    messages[i].msg_hdr.msg_iovlen = 1;
+  }
+  const int count = recvmmsg(fd_, messages, kDatagramsATurn, MSG_DONTWAIT, nullptr);
+  for (int i = 0; i < count; ++i) {
+    int rank = 0;
+    while (rank < static_cast<int>(peers_.size()) &&
+           !IsSame(from[i], peers_[static_cast<std::size_t>(rank)])) {
+      ++rank;
+    }
+    if (rank == static_cast<int>(peers_.size())) {
+      strange_("datagram dropped", "its sender is no peer");
+      continue;
+    }
+    on_datagram_(rank, {bytes[i], messages[i].msg_len});
+  }
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/peer_link.h
@@ -0,0 +1,42 @@
+// Datagrams between the gatekeepers of a group. What comes from an address that is none of a peer's is
+// dropped; so is what a socket will not take: datagrams may be lost in any case.
+#ifndef POSTSPREAD_NET_PEER_LINK_H_
+#define POSTSPREAD_NET_PEER_LINK_H_
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include "config/address.h"
+#include "net/log.h"
+#include "net/loop.h"
+
+namespace postspread::net {
+
+class PeerLink {
+ public:
+  using OnDatagram = std::function<void(int rank, std::string_view bytes)>;
+
+  // `peers`: an address for each rank, the own one included. Throws std::runtime_error where `listen` can't
+  // be bound.
+  PeerLink(event_base* base, const config::Address& listen, std::vector<config::Address> peers,
+           OnDatagram on_datagram);
+  ~PeerLink();
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  void Send(int rank, std::string_view bytes);
+
+ private:
+  void Read();
+
+  std::vector<config::Address> peers_;
+  OnDatagram on_datagram_;
+  int fd_ = -1;
+  EventHandle event_;
+  RareLog strange_;
+};
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_PEER_LINK_H_
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -30,6 +30,20 @@
 constexpr std::chrono::milliseconds kAcceptAgain{50};  // until accepting is tried again
 constexpr int kBacklog = 1024;
 
+std::string_view Words(planner::FailReason reason) {
+  switch (reason) {
+    case planner::FailReason::kFailed:
+      return "-ERR failed\r\n";
+    case planner::FailReason::kUnknown:
+      return "-ERR outcome unknown: the change under this key may have been made\r\n";
+    case planner::FailReason::kOtherKey:
+      return "-ERR this key was used for another request\r\n";
+    case planner::FailReason::kAnswerGone:
+      return "-ERR the change under this key was made, its answer is held no longer\r\n";
+  }
+  return "-ERR failed\r\n";
+}
+
 }  // namespace
 
 class SenderSide::Connection final : public Recipient {
@@ -110,7 +124,7 @@
     if (retry_after.count() <= 0) return Answer(ticket, "-BUSY\r\n");
     Answer(ticket, "-BUSY " + std::to_string(retry_after.count()) + "\r\n");
   }
-  void Fail(Ticket ticket) override { Answer(ticket, "-ERR failed\r\n"); }
+  void Fail(Ticket ticket, planner::FailReason reason) override { Answer(ticket, Words(reason)); }
 
  private:
   enum class State {
@@ -174,7 +188,7 @@
       if (ticket < base_ticket_ || slots_[ticket - base_ticket_].ready) continue;
       const std::optional<planner::EnvelopeNumber> number = slots_[ticket - base_ticket_].number;
       if (number) side_.intake_.SenderGone(*number);
-      Fail(ticket);
+      Fail(ticket, planner::FailReason::kFailed);
     }
   }
 
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -29,7 +29,7 @@
   // `value` is a whole RESP bulk string, as the next hop gave it.
   virtual void Serve(Ticket ticket, std::string_view value) = 0;
   virtual void Defer(Ticket ticket, std::chrono::milliseconds retry_after) = 0;  // 0: no advice
-  virtual void Fail(Ticket ticket) = 0;
+  virtual void Fail(Ticket ticket, planner::FailReason reason) = 0;
 
  protected:
   ~Recipient() = default;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -74,6 +74,7 @@
   cfg_set_validate_func(root, "idempotency|memory", Within<64L << 10, 1L << 30, ' ', 'b'>);
   cfg_set_validate_func(root, "idempotency|keep", Within<1'000, 3'600'000, 'm', 's'>);
   cfg_set_validate_func(root, "idempotency|max_waiters", Within<1, 4'096>);
+  cfg_set_validate_func(root, "idempotency|witnesses", Within<1, 64>);
   cfg_set_validate_func(root, "idempotency|datagrams_per_second", Within<1, 100'000>);
   cfg_set_validate_func(root, "idempotency|peer_silent", Within<100, 60'000, 'm', 's'>);
 }
@@ -87,6 +88,7 @@
   out.max_waiters = static_cast<std::size_t>(cfg_getint(block, "max_waiters"));
   out.when_full = static_cast<idempotency::WhenFull>(cfg_getint(block, "when_full"));
   out.unvouched = static_cast<idempotency::Unvouched>(cfg_getint(block, "unvouched"));
+  out.witnesses = static_cast<std::size_t>(cfg_getint(block, "witnesses"));
   out.datagrams_per_second = static_cast<std::size_t>(cfg_getint(block, "datagrams_per_second"));
   out.peer_silent = std::chrono::milliseconds(cfg_getint(block, "peer_silent"));
   return out;
@@ -104,6 +106,7 @@
       CFG_INT_CB("max_waiters", static_cast<long>(keys.max_waiters), CFGF_NONE, ParseCount),
       CFG_INT_CB("when_full", static_cast<long>(keys.when_full), CFGF_NONE, ParseWhenFull),
       CFG_INT_CB("unvouched", static_cast<long>(keys.unvouched), CFGF_NONE, ParseUnvouched),
+      CFG_INT_CB("witnesses", static_cast<long>(keys.witnesses), CFGF_NONE, ParseCount),
       CFG_INT_CB("datagrams_per_second", static_cast<long>(keys.datagrams_per_second), CFGF_NONE, ParseCount),
       CFG_INT_CB("peer_silent", keys.peer_silent.count(), CFGF_NONE, ParseSpan),
       CFG_END()};
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -1,9 +1,12 @@
 #include "planner/planner.h"
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <utility>
 
+#include "idempotency/digest.h"
+
 namespace postspread::planner {
 namespace {
 
@@ -11,6 +14,20 @@
 // a final answer that leaves in time and arrives when the sender has given up.
 constexpr std::chrono::milliseconds kOnTheWay{10};
 
+constexpr std::chrono::seconds kPodsFresh{1};  // how old the count of a pod's warm next hops may be
+
+FailReason ToReason(idempotency::FailReason reason) {
+  switch (reason) {
+    case idempotency::FailReason::kUnknown:
+      return FailReason::kUnknown;
+    case idempotency::FailReason::kOther:
+      return FailReason::kOtherKey;
+    case idempotency::FailReason::kAnswerGone:
+      return FailReason::kAnswerGone;
+  }
+  return FailReason::kFailed;
+}
+
 Outcome ToOutcome(AttemptResult result) {
   switch (result) {
     case AttemptResult::kServed:
@@ -68,8 +85,26 @@
 
 }  // namespace
 
-Planner::Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now)
-    : wall_(wall), start_(now), last_(wall), controller_(std::move(settings), seed, wall) {}
+Planner::Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now,
+                 const Extras& extras)
+    : wall_(wall), start_(now), last_(wall), controller_(settings, seed, wall) {
+  if (!extras.keys.enabled) return;
+  keeper_.emplace(extras.keys,
+                  idempotency::Keeper::Place{.rank = settings.rank,
+                                             .group_size = settings.group_size,
+                                             .has_peers = extras.has_peers,
+                                             .life = static_cast<std::uint64_t>(wall.count())},
+                  wall);
+  classes_ = settings.classes;
+  for (const PlanSettings& plan : settings.plans) plans_.push_back(plan.name);
+  warm_within_ = settings.warm_within;
+  advises_ = settings.retry_after;
+  max_retry_after_ = settings.max_retry_after;
+}
+
+void Planner::SetLimits(const idempotency::Limits& keys) {
+  if (keeper_) keeper_->SetLimits(keys);
+}
 
 TimePoint Planner::At(Clock::time_point now) {
   last_ = std::max(last_, wall_ + std::chrono::duration_cast<std::chrono::microseconds>(now - start_));
@@ -87,6 +122,12 @@
 Planner::Picked Planner::Pick(const Envelope& envelope, Clock::time_point now) {
   steps_.clear();
   const EnvelopeNumber number = next_number_++;
+  if (const std::optional<idempotency::Ask> ask = ToAsk(envelope, number, At(now))) {
+    RefreshPods(last_);
+    Carry(keeper_->Begin(*ask, last_), last_);
+    Settle(last_);
+    return {number, steps_};
+  }
   open_.emplace(number, 0);
   RequestEvent event;
   event.id = number;
@@ -106,7 +147,22 @@
 Steps Planner::Report(ReportValue report, Clock::time_point now) {
   steps_.clear();
   const TimePoint at = At(now);
-  Handle(std::visit([this](auto& r) { return ToEvent(std::move(r)); }, report), at);
+  if (const auto* peer = std::get_if<PeerReport>(&report)) {
+    if (keeper_) Carry(keeper_->Received(peer->rank, peer->bytes, at), at);
+  } else if (const auto* gone = std::get_if<SenderGone>(&report); gone != nullptr && Holds(gone->envelope)) {
+    Carry(keeper_->WaiterGone(gone->envelope, at), at);
+  } else {
+    if (const auto* roster = std::get_if<RosterReport>(&report); roster != nullptr && keeper_) {
+      NoteRoster(*roster);
+      RefreshPods(at);
+    }
+    auto* attempt = std::get_if<AttemptReport>(&report);
+    if (attempt != nullptr && attempt->result == AttemptResult::kServed && Keeps(attempt->envelope)) {
+      ended_.push_back({attempt->envelope, idempotency::End::kServed, std::move(attempt->value)});
+    }
+    Handle(std::visit([this](auto& r) { return ToEvent(std::move(r)); }, report), at);
+  }
+  Settle(at);
   return steps_;
 }
 
@@ -120,12 +176,146 @@
     timers_.pop();
     Handle(event, at);
   }
+  Settle(at);
+  if (keeper_) {
+    Carry(keeper_->Tick(at), at);
+    Settle(at);
+  }
   return steps_;
 }
 
-std::optional<Clock::time_point> Planner::NextTick() const {
-  if (timers_.empty()) return std::nullopt;
-  return start_ + (timers_.top().due - wall_);
+std::optional<Clock::time_point> Planner::NextTick() {
+  std::optional<TimePoint> next;
+  if (!timers_.empty()) next = timers_.top().due;
+  if (keeper_) {
+    const std::optional<TimePoint> keys = keeper_->NextTick();
+    if (keys && (!next || *keys < *next)) next = keys;
+  }
+  if (!next) return std::nullopt;
+  return start_ + (*next - wall_);
+}
+
+// ---- The store of keys ----
+
+std::optional<idempotency::Ask> Planner::ToAsk(const Envelope& envelope, EnvelopeNumber number,
+                                               TimePoint now) const {
+  if (!keeper_ || envelope.key.empty()) return std::nullopt;
+  const auto cls = std::find_if(classes_.begin(), classes_.end(),
+                                [&](const ClassSettings& c) { return c.name == envelope.class_name; });
+  const auto plan = std::find(plans_.begin(), plans_.end(), envelope.plan);
+  if (cls == classes_.end() || plan == plans_.end()) return std::nullopt;
+  idempotency::Ask out;
+  out.waiter = number;
+  out.key = idempotency::DigestKey(envelope.customer, envelope.class_name, envelope.key);
+  out.fingerprint = idempotency::DigestRequest(envelope.customer, envelope.class_name, envelope.key,
+                                               envelope.units, envelope.body);
+  out.customer = idempotency::DigestCustomer(envelope.customer);
+  out.deadline = now + std::max(std::chrono::milliseconds(1), envelope.patience - kOnTheWay);
+  out.window = cls->key_ttl;
+  out.pinned = cls->scope != Scope::kAll;
+  std::copy_n(envelope.customer.begin(), std::min(envelope.customer.size(), out.work.customer.size()),
+              out.work.customer.begin());
+  out.work.class_index = static_cast<std::int16_t>(cls - classes_.begin());
+  out.work.plan_index = static_cast<std::int16_t>(plan - plans_.begin());
+  out.work.spread = static_cast<std::int16_t>(envelope.spread);
+  out.work.first = static_cast<std::int16_t>(envelope.first);
+  out.work.units = static_cast<float>(envelope.units);
+  out.work.is_retry = envelope.is_retry;
+  return out;
+}
+
+RequestEvent Planner::ToRequest(const idempotency::Work& work, EnvelopeNumber number, Duration time_left) {
+  open_.emplace(number, 0);
+  RequestEvent out;
+  out.id = number;
+  out.class_name = classes_[static_cast<std::size_t>(work.class_index)].name;
+  out.plan = plans_[static_cast<std::size_t>(work.plan_index)];
+  out.customer.assign(work.customer.begin(), std::find(work.customer.begin(), work.customer.end(), '\0'));
+  out.time_left = std::max<Duration>(std::chrono::milliseconds(1), time_left);
+  out.units = work.units;
+  out.spread = work.spread;
+  out.first_gateway = work.first;
+  out.retry = work.is_retry;
+  out.write = true;
+  return out;
+}
+
+void Planner::Carry(idempotency::Actions actions, TimePoint now) {
+  // A Start may end at once, and its end is another call of the keeper's: the list is taken over first.
+  for (idempotency::Action& action : std::vector<idempotency::Action>(actions.begin(), actions.end())) {
+    if (auto* start = std::get_if<idempotency::Start>(&action)) {
+      RequestEvent event = ToRequest(start->work, start->waiter, start->deadline - now);
+      KeyPin& pin = event.pin.emplace();
+      pin.may_have_run = start->pin.may_have_run;
+      pin.age = start->pin.age;
+      if (const auto pod = pods_.find(start->pin.pod); start->pin.has_pod) {
+        // A pod that no next hop belongs to any more: its number alone tells that nothing may go elsewhere.
+        pin.bound = true;
+        pin.cell = start->pin.pod;
+        if (pod != pods_.end()) pin.zone = pod->second.zone;
+      }
+      Handle(std::move(event), now);
+    } else if (const auto* pass = std::get_if<idempotency::Pass>(&action)) {
+      Handle(ToRequest(pass->work, pass->waiter, pass->deadline - now), now);
+    } else if (const auto* serve = std::get_if<idempotency::Serve>(&action)) {
+      steps_.emplace_back(Serve{serve->waiter, serve->value});
+    } else if (const auto* defer = std::get_if<idempotency::Defer>(&action)) {
+      Duration advice = advises_ ? defer->retry_after : Duration(0);
+      if (max_retry_after_.count() > 0) advice = std::min(advice, max_retry_after_);
+      steps_.emplace_back(Defer{defer->waiter, advice});
+    } else if (const auto* fail = std::get_if<idempotency::Fail>(&action)) {
+      steps_.emplace_back(planner::Fail{fail->waiter, ToReason(fail->reason)});
+    } else if (const auto* forget = std::get_if<idempotency::Forget>(&action)) {
+      steps_.emplace_back(Forget{forget->waiter});
+    } else if (auto* tell = std::get_if<idempotency::Tell>(&action)) {
+      steps_.emplace_back(Tell{tell->rank, std::move(tell->bytes)});
+    } else if (auto* note = std::get_if<idempotency::Note>(&action)) {
+      steps_.emplace_back(Note{std::move(note->line)});
+    }
+  }
+}
+
+// Tells the keeper what ended meanwhile; that may begin work that ends at once in its turn. It comes to an
+// end: each round uses up a request that waited.
+void Planner::Settle(TimePoint now) {
+  while (!ended_.empty()) {
+    std::vector<Ended> ended;
+    ended.swap(ended_);
+    for (Ended& e : ended) {
+      Carry(keeper_->Ended(e.number, e.end, std::move(e.value), e.retry_after, now), now);
+    }
+  }
+}
+
+void Planner::NoteRoster(const RosterReport& report) {
+  if (report.scope != RosterScope::kChanges) hops_.clear();
+  for (const NextHop& hop : report.next_hops) {
+    if (hop.state == HopState::kGone) {
+      hops_.erase(hop.name);
+    } else {
+      hops_[hop.name] = hop;
+    }
+  }
+  pods_at_ = TimePoint(0);
+}
+
+// Next hops get warm with time, so the pods are looked at again now and then.
+void Planner::RefreshPods(TimePoint now) {
+  if (pods_at_.count() != 0 && now - pods_at_ < kPodsFresh) return;
+  pods_at_ = now;
+  pods_.clear();
+  std::map<std::int64_t, std::size_t> warm, ready;
+  for (const auto& [name, hop] : hops_) {
+    pods_.emplace(hop.cell, hop);
+    ready.try_emplace(hop.cell, 0);
+    if (hop.state != HopState::kReady) continue;
+    ++ready[hop.cell];
+    if (now - hop.started >= warm_within_) ++warm[hop.cell];
+  }
+  // Keys go to pods that are warm: a cold one would have to turn most of them away.
+  std::vector<idempotency::Pod> pods;
+  for (const auto& [id, count] : warm.empty() ? ready : warm) pods.push_back({id, count});
+  keeper_->SetPods(std::move(pods));
 }
 
 Event Planner::ToEvent(AttemptReport&& report) {
@@ -171,6 +361,8 @@
                     ToLoad(report.load)};
 }
 
+Event Planner::ToEvent(PeerReport&&) { return TimerEvent{}; }  // the keeper's alone
+
 Event Planner::ToEvent(SenderGone&& report) {
   open_.erase(report.envelope);
   return ClientGoneEvent{report.envelope};
@@ -184,11 +376,16 @@
 
 void Planner::Take(postspread::Refuse&& action, TimePoint) {
   open_.erase(action.id);
+  if (Keeps(action.id)) {
+    ended_.push_back({action.id, idempotency::End::kRefused, {}, action.retry_after});
+    return;
+  }
   steps_.emplace_back(Defer{action.id, action.retry_after});
 }
 
 void Planner::Take(postspread::Fail&& action, TimePoint) {
   open_.erase(action.id);
+  if (Keeps(action.id)) return ended_.push_back({action.id, idempotency::End::kFailed, {}});
   steps_.emplace_back(planner::Fail{action.id});
 }
 
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -8,10 +8,13 @@
 #include <optional>
 #include <queue>
 #include <span>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "envelope.h"
+#include "idempotency/keeper.h"
 #include "planner/types.h"
 #include "postspread/control.h"
 
@@ -22,9 +25,21 @@
 
 class Planner {
  public:
+  // What this installation switches on beside the module.
+  struct Extras {
+    idempotency::Limits keys;
+    bool has_peers = false;  // datagrams can be sent to the other gatekeepers
+  };
+
   // `wall` is the wall clock at `now`. Gatekeepers number a customer's periods by it, so it must agree
   // between them; from then on only the steady clock counts, so that time never goes back.
-  Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now);
+  Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now,
+          const Extras& extras);
+  Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now)
+      : Planner(std::move(settings), seed, wall, now, Extras{}) {}
+
+  // Takes on what may change while it runs.
+  void SetLimits(const idempotency::Limits& keys);
 
   struct Picked {
     EnvelopeNumber number = 0;
@@ -39,7 +54,14 @@
   // Runs the timers that are due.
   Steps Tick(Clock::time_point now);
   // When Tick is next wanted; nothing: not at all. May have changed after each call.
-  std::optional<Clock::time_point> NextTick() const;
+  std::optional<Clock::time_point> NextTick();
+
+  // Whether the envelope's answer is wanted in the report of its attempt: it is served by a step then.
+  bool Keeps(EnvelopeNumber number) { return keeper_ && keeper_->Runs(number); }
+  // Whether the envelope is needed after its sender has gone, until a Forget.
+  bool Holds(EnvelopeNumber number) { return keeper_ && keeper_->Holds(number); }
+  // Null where the store of keys is off.
+  idempotency::Keeper* keeper() { return keeper_ ? &*keeper_ : nullptr; }
 
  private:
   struct Timer {
@@ -51,13 +73,27 @@
     }
   };
 
+  struct Ended {  // work under a key
+    EnvelopeNumber number = 0;
+    idempotency::End end = idempotency::End::kFailed;
+    std::string value;
+    Duration retry_after{0};
+  };
+
   TimePoint At(Clock::time_point now);
+  std::optional<idempotency::Ask> ToAsk(const Envelope& envelope, EnvelopeNumber number, TimePoint now) const;
+  RequestEvent ToRequest(const idempotency::Work& work, EnvelopeNumber number, Duration time_left);
+  void Carry(idempotency::Actions actions, TimePoint now);
+  void Settle(TimePoint now);
+  void NoteRoster(const RosterReport& report);
+  void RefreshPods(TimePoint now);
   void Handle(const Event& event, TimePoint now);
   Event ToEvent(AttemptReport&& report);
   Event ToEvent(CounterReport&& report);
   Event ToEvent(RosterReport&& report);
   Event ToEvent(ProbeReport&& report);
   Event ToEvent(SenderGone&& report);
+  Event ToEvent(PeerReport&& report);
   void Take(postspread::Send&& action, TimePoint now);
   void Take(postspread::Refuse&& action, TimePoint now);
   void Take(postspread::Fail&& action, TimePoint now);
@@ -77,6 +113,17 @@
   std::unordered_map<EnvelopeNumber, int> open_;  // envelopes that are owed an answer: attempts so far
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::vector<Action> actions_;
+  // The store of keys, where it is on.
+  std::optional<idempotency::Keeper> keeper_;
+  std::vector<ClassSettings> classes_;
+  std::vector<std::string> plans_;
+  Duration warm_within_{0};
+  bool advises_ = false;  // clients are given the retry-after of a refusal
+  Duration max_retry_after_{0};
+  std::unordered_map<std::string, NextHop> hops_;   // by name, but for those that are gone
+  std::unordered_map<std::int64_t, NextHop> pods_;  // one of each pod's
+  TimePoint pods_at_{0};
+  std::vector<Ended> ended_;
   std::vector<Step> steps_;
 };
 
--- a/src/planner/types.h
+++ b/src/planner/types.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,8 +55,32 @@
 };
 
 // Final answer: promises nothing.
+enum class FailReason {
+  kFailed,
+  kUnknown,     // an earlier request under the same key may have been carried out
+  kOtherKey,    // the key belongs to another request
+  kAnswerGone,  // an earlier request under the same key was carried out; its answer is held no longer
+};
 struct Fail {
   EnvelopeNumber envelope = 0;
+  FailReason reason = FailReason::kFailed;
+};
+
+// Final answer: the value that a next hop gave for an earlier request under the same key.
+struct Serve {
+  EnvelopeNumber envelope = 0;
+  std::shared_ptr<const std::string> value;
+};
+
+// Its sender has gone, and nothing needs the envelope any more.
+struct Forget {
+  EnvelopeNumber envelope = 0;
+};
+
+// A datagram to the gatekeeper of this rank.
+struct Tell {
+  int rank = 0;
+  std::string bytes;
 };
 
 struct Abandon {
@@ -77,7 +102,7 @@
   std::string line;
 };
 
-using Step = std::variant<Deliver, Defer, Fail, Abandon, AskCounter, ProbeHop, Note>;
+using Step = std::variant<Deliver, Defer, Fail, Serve, Forget, Abandon, AskCounter, ProbeHop, Tell, Note>;
 
 // ---- Reports: what came back.
 
@@ -91,6 +116,7 @@
   AttemptResult result = AttemptResult::kServed;
   std::chrono::microseconds elapsed{0};
   Load load{};
+  std::string value{};  // with kServed, where Planner::Keeps the envelope's answer
 };
 
 enum class CounterResult { kAdded, kTurnedAway, kUnreachable, kNoAnswer };  // kNoAnswer: may have been added
@@ -122,7 +148,14 @@
   EnvelopeNumber envelope = 0;
 };
 
-using ReportValue = std::variant<AttemptReport, CounterReport, RosterReport, ProbeReport, SenderGone>;
+// A datagram of the gatekeeper of this rank.
+struct PeerReport {
+  int rank = 0;
+  std::string bytes;
+};
+
+using ReportValue =
+    std::variant<AttemptReport, CounterReport, RosterReport, ProbeReport, SenderGone, PeerReport>;
 
 }  // namespace postspread::planner
 
--- a/src/resp/request.cpp
+++ b/src/resp/request.cpp
@@ -77,7 +77,7 @@
 
   const Vocabulary::Class* cls = nullptr;
   bool has_key = false, has_units = false, has_spread = false, has_first = false, has_retry = false;
-  std::string_view rest = out.extras;
+  std::string_view rest = out.extras, key;
   while (!rest.empty()) {
     const std::string_view item = Next(rest, ',');
     const std::size_t equals = item.find('=');
@@ -127,6 +127,7 @@
     } else if (name == "k") {
       if (std::exchange(has_key, true)) return "name given twice";
       if (value.empty()) return "bad k";
+      key = value;
     }
   }
   if (cls == nullptr) return "c is missing";
@@ -137,6 +138,8 @@
   if (!has_first) return "first is missing";
   if (cls->is_safe == is_write) return "wrong command for this class";
   if (cls->is_keyed && !has_key) return "k is missing";
+  if (cls->is_keyed) envelope.key = key;
+  if (is_write) envelope.body = command.parts[4];
   return nullptr;
 }
 
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -32,7 +32,7 @@
   const idempotency::Limits limits =
       Decode(
           "idempotency {\n enabled = true\n memory = 512kb\n keep = 2m\n customer_share = 0.5\n"
-          " max_waiters = 3\n when_full = pass\n unvouched = defer\n datagrams_per_second = 2000\n"
+          " max_waiters = 3\n when_full = pass\n unvouched = defer\n witnesses = 3\n datagrams_per_second = 2000\n"
           " peer_silent = 1s\n}\n",
           "op.conf")
           .idempotency;
@@ -43,6 +43,7 @@
   CHECK(limits.max_waiters == 3);
   CHECK(limits.when_full == idempotency::WhenFull::kPass);
   CHECK(limits.unvouched == idempotency::Unvouched::kDefer);
+  CHECK(limits.witnesses == 3);
   CHECK(limits.datagrams_per_second == 2'000);
   CHECK(limits.peer_silent == std::chrono::seconds(1));
 }
--- /dev/null
+++ b/tests/partners/server.h
@@ -0,0 +1,154 @@
+// A listener on loopback and its connections, on libevent: what every scripted partner here stands on.
+#ifndef POSTSPREAD_TESTS_PARTNERS_SERVER_H_
+#define POSTSPREAD_TESTS_PARTNERS_SERVER_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "net/loop.h"
+
+namespace postspread::partners {
+
+inline sockaddr_in Loopback(int port) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  out.sin_port = htons(static_cast<std::uint16_t>(port));
+  return out;
+}
+inline std::string Place(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+// A port that is free at this moment.
+inline int FreePort(int type = SOCK_STREAM) {
+  const int fd = socket(AF_INET, type, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t size = sizeof address;
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0) throw std::runtime_error("no port");
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+class Server {
+ public:
+  class Connection {
+   public:
+    void Send(std::string_view bytes) {
+      if (event_) net::Write(event_.get(), bytes);
+    }
+    std::string_view input() { return net::Peek(event_.get(), net::ReadSize(event_.get())); }
+    void Consume(std::size_t size) { net::Consume(event_.get(), size); }
+    std::uint64_t number() const { return number_; }
+
+   private:
+    friend class Server;
+    Server* server_ = nullptr;
+    net::BufferEvent event_;
+    std::uint64_t number_ = 0;
+  };
+  using OnData = std::function<void(Connection&)>;
+
+  Server(event_base* base, OnData on_data) : base_(base), on_data_(std::move(on_data)) { Listen(0); }
+
+  int port() const { return port_; }
+  std::string place() const { return Place(port_); }
+
+  // Dies as a process does: every connection is reset, new ones are refused.
+  void Kill() {
+    listener_.reset();
+    for (const auto& connection : connections_) {
+      const linger hard{1, 0};
+      setsockopt(bufferevent_getfd(connection->event_.get()), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    }
+    connections_.clear();
+  }
+  void Restart() { Listen(port_); }
+  bool alive() const { return listener_ != nullptr; }
+
+  // The connection of this number, if it still stands.
+  Connection* Find(std::uint64_t number) {
+    for (const auto& connection : connections_) {
+      if (connection->number_ == number) return connection.get();
+    }
+    return nullptr;
+  }
+
+ private:
+  void Listen(int port) {
+    const sockaddr_in address = Loopback(port);
+    listener_.reset(evconnlistener_new_bind(
+        base_,
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+          static_cast<Server*>(self)->Accept(fd);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 512,
+        reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    if (!listener_) throw std::runtime_error("can't listen on port " + std::to_string(port));
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&bound), &size);
+    port_ = ntohs(bound.sin_port);
+  }
+  void Accept(evutil_socket_t fd) {
+    const int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    auto connection = std::make_unique<Connection>();
+    connection->server_ = this;
+    connection->number_ = next_++;
+    connection->event_.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        connection->event_.get(),
+        [](bufferevent*, void* c) {
+          auto* self = static_cast<Connection*>(c);
+          self->server_->on_data_(*self);
+        },
+        nullptr,
+        [](bufferevent*, short what, void* c) {
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            auto* self = static_cast<Connection*>(c);
+            self->server_->Remove(self);
+          }
+        },
+        connection.get());
+    bufferevent_enable(connection->event_.get(), EV_READ | EV_WRITE);
+    connections_.push_back(std::move(connection));
+  }
+  void Remove(Connection* connection) {
+    connections_.remove_if([connection](const auto& c) { return c.get() == connection; });
+  }
+
+  event_base* base_;
+  OnData on_data_;
+  net::Listener listener_;
+  int port_ = 0;
+  std::uint64_t next_ = 1;
+  std::list<std::unique_ptr<Connection>> connections_;
+};
+
+// Calls back once, and forgets itself.
+inline void After(event_base* base, std::chrono::microseconds span, std::function<void()> run) {
+  auto* held = new std::function<void()>(std::move(run));
+  timeval tv{};
+  tv.tv_sec = static_cast<time_t>(span.count() / 1'000'000);
+  tv.tv_usec = static_cast<suseconds_t>(span.count() % 1'000'000);
+  event_base_once(
+      base, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* self) {
+        const std::unique_ptr<std::function<void()>> f(static_cast<std::function<void()>*>(self));
+        (*f)();
+      },
+      held, &tv);
+}
+
+}  // namespace postspread::partners
+
+#endif  // POSTSPREAD_TESTS_PARTNERS_SERVER_H_
--- /dev/null
+++ b/tests/partners/site.h
@@ -0,0 +1,321 @@
+// The real program as a process, among small scripted partners: each test plays discovery, the counter, the
+// next hops and a client by hand, and waits for events, never for time to pass.
+#ifndef POSTSPREAD_TESTS_PARTNERS_SITE_H_
+#define POSTSPREAD_TESTS_PARTNERS_SITE_H_
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "resp/frame.h"
+
+extern char** environ;
+
+namespace postspread::site {
+
+using nlohmann::json;
+
+constexpr int kPatienceMs =
+    20'000;  // after which a wait counts as failed; nothing waits so long when all is well
+
+inline bool Readable(int fd, int wait_ms = kPatienceMs) {
+  pollfd p{fd, POLLIN, 0};
+  return poll(&p, 1, wait_ms) == 1;
+}
+
+class Socket {
+ public:
+  explicit Socket(int fd = -1) : fd_(fd) {}
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Socket() { Close(); }
+  void Close() {
+    if (fd_ >= 0) close(std::exchange(fd_, -1));
+  }
+  int fd() const { return fd_; }
+
+ private:
+  int fd_;
+};
+
+// One end of a connection.
+class Peer {
+ public:
+  explicit Peer(int fd) : socket_(fd) {}
+  void Send(const std::string& bytes) {
+    REQUIRE(send(socket_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  // Reads until `end` has come, and returns all up to and with it.
+  std::string Until(const std::string& end) {
+    while (buffer_.find(end) == std::string::npos) {
+      if (!Fill()) FAIL("the connection ended or stalled after: " + buffer_);
+    }
+    const std::size_t size = buffer_.find(end) + end.size();
+    const std::string out = buffer_.substr(0, size);
+    buffer_.erase(0, size);
+    return out;
+  }
+  std::string Line() { return Until("\r\n"); }
+  // A whole command of bulk strings.
+  std::vector<std::string> Command() {
+    resp::Command command;
+    while (resp::ParseCommand(buffer_, command) == resp::Progress::kPartial) {
+      if (!Fill()) FAIL("the connection ended or stalled after: " + buffer_);
+    }
+    REQUIRE(command.size > 0);
+    const std::vector<std::string> out(command.parts.begin(), command.parts.begin() + command.count);
+    buffer_.erase(0, command.size);
+    return out;
+  }
+  // True once the other end has closed with nothing left unread.
+  bool Ended() { return !Fill() && buffer_.empty(); }
+  // True where something is there to be read at this moment.
+  bool HasMore() { return !buffer_.empty() || Readable(socket_.fd(), 0); }
+  void Close() { socket_.Close(); }
+
+ private:
+  bool Fill() {
+    char bytes[4096];
+    if (!Readable(socket_.fd())) return false;
+    const ssize_t size = recv(socket_.fd(), bytes, sizeof bytes, 0);
+    if (size > 0) buffer_.append(bytes, static_cast<std::size_t>(size));
+    return size > 0;
+  }
+  Socket socket_;
+  std::string buffer_;
+};
+
+inline sockaddr_in Loopback(int port) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  out.sin_port = htons(static_cast<std::uint16_t>(port));
+  return out;
+}
+
+class Port {
+ public:
+  explicit Port(int backlog = 16) : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address = Loopback(0);
+    REQUIRE(bind(socket_.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(listen(socket_.fd(), backlog) == 0);
+    socklen_t size = sizeof address;
+    getsockname(socket_.fd(), reinterpret_cast<sockaddr*>(&address), &size);
+    number_ = ntohs(address.sin_port);
+  }
+  Peer Accept() {
+    if (!Readable(socket_.fd())) FAIL("nobody connected");
+    return Peer(accept4(socket_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+  }
+  bool Asked() const { return Readable(socket_.fd(), 0); }
+  void Close() { socket_.Close(); }
+  int fd() const { return socket_.fd(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(number_); }
+  int number() const { return number_; }
+
+ private:
+  Socket socket_;
+  int number_ = 0;
+};
+
+inline Peer Connect(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = Loopback(port);
+  REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  return Peer(fd);
+}
+
+inline std::string Command(std::initializer_list<std::string_view> parts) {
+  std::string out;
+  resp::AppendCommand(parts, out);
+  return out;
+}
+
+// The program with its partners. Time limits of the settings are far off, so that none runs out by chance.
+class Site {
+ public:
+  // `operators`: the text of an operator file to start with; null: none.
+  explicit Site(int hops, json changes = json::object(), bool with_variables = false,
+                const char* operators = nullptr)
+      : hops_(static_cast<std::size_t>(hops)) {
+    Port free;
+    port_ = free.number();
+    free.Close();
+    config_ = {{"name", "n0"},
+               {"listen", free.address()},
+               {"discovery", discovery_.address()},
+               {"counter", counter_.address()},
+               {"seed", "1"},
+               {"known", List(true, json::array())},
+               {"settings",
+                {{"Classes",
+                  {{{"Name", "lookup"}, {"Aim", 60'000'000}, {"HardLimit", 60'000'000}, {"Effect", "safe"}}}},
+                 {"Contracts", {{{"Name", "team"}, {"PerSecond", 1000}, {"Depth", 1000}}}},
+                 {"Domain", {{"SharedCounter", true}, {"CountLimit", 60'000'000}, {"MaxUnits", 4}}},
+                 {"GroupSize", 2},
+                 {"Limits",
+                  {{"Cancelling", true},
+                   {"MostTries", 4},
+                   {"DialTimeout", 60'000'000},
+                   {"ConnIdle", 60'000'000}}}}}};
+    config_.merge_patch(changes);
+    path_ = "process_test_" + std::to_string(getpid()) + "_" + std::to_string(port_) + ".json";
+    std::ofstream(path_) << config_.dump();
+    const std::string variable = "ROUTER_CONFIG=" + path_;
+    const std::string other = "ROUTER_DISCOVERY=" + discovery_.address();
+    std::vector<char*> environment{const_cast<char*>(variable.c_str())};
+    if (with_variables) environment.push_back(const_cast<char*>(other.c_str()));
+    for (char** e = environ; *e != nullptr; ++e) environment.push_back(*e);
+    environment.push_back(nullptr);
+    const std::string operator_path = path_ + ".conf";
+    if (operators != nullptr) std::ofstream(operator_path) << operators;
+    char* arguments[] = {const_cast<char*>(GATEKEEPER), nullptr, nullptr, nullptr};
+    if (operators != nullptr) {
+      arguments[1] = const_cast<char*>("--operator");
+      arguments[2] = const_cast<char*>(operator_path.c_str());
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log().c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+                                     0600);
+    REQUIRE(posix_spawn(&pid_, GATEKEEPER, &actions, nullptr, arguments, environment.data()) == 0);
+    posix_spawn_file_actions_destroy(&actions);
+  }
+  ~Site() {
+    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+    unlink(path_.c_str());
+    unlink(log().c_str());
+    unlink((path_ + ".conf").c_str());
+  }
+  Site(const Site&) = delete;
+
+  // Plays the start up to the point where it serves; the first `count` next hops are listed.
+  void Start(int count) {
+    watch_.emplace_back(discovery_.Accept());
+    CHECK(watch().Until("\r\n\r\n").find("GET /api/targets HTTP/1.1\r\n") == 0);
+    Tell(List(true, Entries(0, count, "Ready")));
+    CHECK(watch().Until("\r\n\r\n").find("GET /api/targets?since=41&timeout_ms=") == 0);
+    calls_.emplace_back(counter_.Accept());
+    WaitUntilReady();
+  }
+  void WaitUntilReady() {
+    Peer front = Client();
+    do front.Send(Command({"PING"}));
+    while (front.Line() != "+PONG\r\n");
+  }
+
+  json Entries(int first, int count, const char* status) {
+    json out = json::array();
+    for (int i = first; i < first + count; ++i) {
+      out.push_back({{"name", "s-" + std::to_string(i)}, {"address", hop(i).address()}, {"status", status}});
+    }
+    return out;
+  }
+  static json List(bool full, json entries) {
+    return {{"index", 41}, {"snapshot", full}, {"endpoints", std::move(entries)}};
+  }
+  void Tell(const json& list) {
+    const std::string body = list.dump();
+    watch().Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  // Plays the counter for one call; a total that lacked what was added before would be put right by another.
+  void Grant() {
+    const auto call = calls().Command();
+    REQUIRE(call.size() == 4);
+    CHECK(call[0] == "CNT.ADD");
+    total_ += std::stod(call[2]);
+    std::string answer;
+    resp::AppendBulk(std::to_string(total_), answer);
+    calls().Send(answer);
+  }
+  int Wait() {  // for the program to end; its exit code
+    int status = -1;
+    REQUIRE(waitpid(std::exchange(pid_, -1), &status, 0) > 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  void Terminate() { kill(pid_, SIGTERM); }
+  void Pause() { kill(pid_, SIGSTOP); }
+  void Resume() { kill(pid_, SIGCONT); }
+  // Replaces the operator file; a reload reads it too.
+  void WriteOperators(const char* text) const { std::ofstream(path_ + ".conf") << text; }
+  // Replaces the file and sends SIGHUP.
+  void Reload(const json& changes) {
+    json config = config_;
+    config.merge_patch(changes);
+    std::ofstream(path_) << config.dump();
+    kill(pid_, SIGHUP);
+  }
+  // Waits until the log holds `line`.
+  void Logged(const std::string& line) const {
+    for (int waited = 0; waited < kPatienceMs; waited += 10) {
+      std::ostringstream text;
+      text << std::ifstream(log()).rdbuf();
+      if (text.str().find(line) != std::string::npos) return;
+      usleep(10'000);
+    }
+    FAIL("no such line in the log: " + line);
+  }
+  std::string log() const { return path_ + ".log"; }
+  Peer Client() {
+    // The program listens as soon as it can: until then the port is refused.
+    for (int i = 0; i < 2000; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in address = Loopback(port_);
+      if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return Peer(fd);
+      close(fd);
+      usleep(10'000);
+    }
+    FAIL("the program does not listen");
+    return Peer(-1);
+  }
+  bool Refuses() const {
+    const Socket probe(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const sockaddr_in address = Loopback(port_);
+    return connect(probe.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0;
+  }
+  Peer& watch() { return watch_.back(); }
+  Peer& calls() { return calls_.back(); }
+  Port& counter() { return counter_; }
+  Port& discovery() { return discovery_; }
+  Port& hop(int i) { return hops_[static_cast<std::size_t>(i)]; }
+  // Which of two next hops was dialled.
+  int Dialled() {
+    pollfd p[] = {{hop(0).fd(), POLLIN, 0}, {hop(1).fd(), POLLIN, 0}};
+    REQUIRE(poll(p, 2, kPatienceMs) >= 1);
+    return (p[0].revents & POLLIN) != 0 ? 0 : 1;
+  }
+
+ private:
+  Port discovery_, counter_;
+  std::vector<Port> hops_;
+  std::vector<Peer> watch_, calls_;
+  json config_;
+  double total_ = 0;
+  std::string path_;
+  int port_ = 0;
+  pid_t pid_ = -1;
+};
+
+}  // namespace postspread::site
+
+#endif  // POSTSPREAD_TESTS_PARTNERS_SITE_H_
