Give the tests' wait for readiness a limit

Cause: a test that started the program without a next hop asked PING for good, and held up the whole run.

--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -220,8 +220,12 @@
   }
   void WaitUntilReady() {
     Peer front = Client();
-    do front.Send(Command({"PING"}));
-    while (front.Line() != "+PONG\r\n");
+    for (int waited = 0; waited < kPatienceMs; waited += 5) {
+      front.Send(Command({"PING"}));
+      if (front.Line() == "+PONG\r\n") return;
+      usleep(5'000);
+    }
+    FAIL("the program does not get ready");
   }
 
   json Entries(int first, int count, const char* status) {
