--- a/tests/idempotency/cluster_test.cpp
+++ b/tests/idempotency/cluster_test.cpp
@@ -93,6 +93,22 @@
   }
 }
 
+TEST_CASE("a holder that is back in another life has forgotten: who waits for it goes on at once") {
+  Cluster cluster(2, Fast(), 3);
+  cluster.treat = [](const KeyId&, std::int64_t) { return Treatment{.service = milliseconds(500)}; };
+  cluster.Send(0, "k");
+  cluster.Run(milliseconds(300));
+  const WaiterId second = cluster.Send(1, "k", seconds(4));
+  cluster.Run(milliseconds(50));
+  cluster.Kill(0);
+  cluster.Run(milliseconds(50));
+  cluster.Start(0);
+  cluster.Run(seconds(2));
+  REQUIRE(cluster.AnswerOf(second));
+  CHECK(cluster.AnswerOf(second)->told == Told::kServed);
+  CHECK(cluster.applied("k") == 1);
+}
+
 TEST_CASE("a key that a killed gatekeeper ran is not run again after the window, whoever is asked") {
   Cluster cluster(3, Fast(), 3);
   cluster.Send(0, "k");
