Ask a discovery that refused again only after a pause by group size

In the last 4 s 18 to 24 calendar nodes do the work of 60, 70 to 130 attempts a second find no connection: new nodes are unknown. Fault: DiscoveryWatch::Lost() dials again after 100 ms whatever the cause. Change: after a status that is no 200 the next call comes after 0.2 s x gatekeepers, spread by half either way from the seed: five calls a second from the whole group. Lost connections are dialled after 100 ms as before.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -1,5 +1,6 @@
 #include "net/discovery_watch.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -18,14 +19,21 @@
 constexpr milliseconds kOverdue{500};  // beyond the wait: the agent is silent
 constexpr milliseconds kRedial{100};   // a watch goes on only within 200 ms
 
+// An overbooked discovery refuses, and every call that it refuses keeps it overbooked. Who was refused asks
+// again so seldom, and by chance, that a whole group that was refused makes some five calls a second.
+constexpr milliseconds kRefusedShare{200};
+
 }  // namespace
 
 DiscoveryWatch::DiscoveryWatch(event_base* base, config::Address address,
-                               std::chrono::microseconds dial_timeout, OnRoster on_roster)
+                               std::chrono::microseconds dial_timeout, int group_size, std::uint64_t seed,
+                               OnRoster on_roster)
     : base_(base),
       address_(std::move(address)),
       dial_timeout_(dial_timeout),
       on_roster_(std::move(on_roster)),
+      refused_pause_(kRefusedShare * std::max(1, group_size)),
+      random_(seed),
       timer_(base, [this] { connection_ ? Lost("no answer in time") : Dial(); }) {
   Dial();
 }
@@ -74,7 +82,10 @@
 }
 
 void DiscoveryWatch::Answered() {
-  if (parser_.status() != 200) return Lost("status " + std::to_string(parser_.status()));
+  if (parser_.status() != 200) {
+    Lost("status " + std::to_string(parser_.status()));
+    return timer_.Arm(Pause());
+  }
   config::Roster roster;
   try {
     const auto body = nlohmann::json::parse(parser_.body(), nullptr, /*allow_exceptions=*/false);
@@ -104,4 +115,9 @@
   timer_.Arm(kRedial);
 }
 
+milliseconds DiscoveryWatch::Pause() {
+  const double share = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
+  return std::chrono::duration_cast<milliseconds>(refused_pause_ * share);
+}
+
 }  // namespace postspread::net
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <random>
 #include <string_view>
 
 #include "config/roster.h"
@@ -18,7 +19,7 @@
   using OnRoster = std::function<void(config::Roster roster)>;
 
   DiscoveryWatch(event_base* base, config::Address address, std::chrono::microseconds dial_timeout,
-                 OnRoster on_roster);
+                 int group_size, std::uint64_t seed, OnRoster on_roster);
   DiscoveryWatch(const DiscoveryWatch&) = delete;
   DiscoveryWatch& operator=(const DiscoveryWatch&) = delete;
 
@@ -35,11 +36,14 @@
   void Read();
   void Answered();
   void Lost(std::string_view why);
+  std::chrono::milliseconds Pause();
 
   event_base* base_;
   config::Address address_;
   std::chrono::microseconds dial_timeout_;
   OnRoster on_roster_;
+  std::chrono::milliseconds refused_pause_;  // mean time until what was refused is asked again
+  std::minstd_rand random_;                  // spreads the calls
   BufferEvent connection_;
   http::ResponseParser parser_;
   bool heard_ = false;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -71,10 +71,12 @@
       sender_side_(base, config.listen, ToVocabulary(config.settings), Sockets(config) / 2, *this) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
-  discovery_.emplace(base, config.discovery, config.settings.dial_timeout, [this](config::Roster roster) {
-    const auto scope = roster.full ? planner::RosterScope::kFull : planner::RosterScope::kChanges;
-    RosterCame(std::move(roster), scope);
-  });
+  discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
+                     config.seed, [this](config::Roster roster) {
+                       const auto scope =
+                           roster.full ? planner::RosterScope::kFull : planner::RosterScope::kChanges;
+                       RosterCame(std::move(roster), scope);
+                     });
   settle_.Arm(kSettle);
   if (std::optional<config::Peers> peers = PeersOf(config, operators)) {
     peers_.emplace(base, peers->listen, std::move(peers->each), std::move(peers->all),
