--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -250,6 +250,7 @@
   out.first_gateway = work.first;
   out.retry = work.is_retry;
   out.write = true;
+  if (board_) out.demand = board_->Demand(idempotency::DigestCustomer(out.customer), last_);
   return out;
 }
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -71,6 +71,64 @@
   std::vector<Step> last;
 };
 
+// Five requests a second of one firm, the counter crowded but for totals where `total` is above 0; returns
+// how many were let in.
+int LetIn(Planner& planner, Clock::time_point now, int count, double total) {
+  int sent = 0;
+  for (int i = 0; i < count; ++i, now += milliseconds(200)) {
+    Planner::Picked picked = planner.Pick({.class_name = "lookup",
+                                           .plan = "team",
+                                           .customer = "f",
+                                           .patience = seconds(2),
+                                           .units = 1,
+                                           .spread = 100},
+                                          now);
+    std::vector<Step> steps(picked.steps.begin(), picked.steps.end());
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+      Steps more;
+      if (std::holds_alternative<Deliver>(steps[n])) {
+        ++sent;
+        more = planner.Report(AttemptReport{.envelope = picked.number, .next_hop = "a"}, now);
+      } else if (const auto* ask = std::get_if<AskCounter>(&steps[n])) {
+        const bool added = total > 0 && i > 0;
+        more = planner.Report(
+            CounterReport{ask->name, added ? CounterResult::kAdded : CounterResult::kTurnedAway, total}, now);
+      }
+      const std::vector<Step> copied(more.begin(), more.end());
+      steps.insert(steps.end(), copied.begin(), copied.end());
+    }
+  }
+  return sent;
+}
+
+TEST_CASE("where the counter is crowded, what one gatekeeper learns of a firm guides the others") {
+  Settings settings = Site(true);
+  settings.group_size = 100;
+  settings.can_tell = true;
+  settings.mail_per_s = 40;
+  Clock::time_point now{seconds(50)};
+  RosterReport roster;
+  roster.next_hops = {{.name = "a", .zone = "z", .kind = "k"}};
+  const Planner::Extras extras{.keys = {}, .demand = {.tell = true}, .has_peers = true};
+  Planner teller(settings, 1, seconds(1'000'000), now, extras),
+      told(settings, 2, seconds(1'000'000), now, extras),
+      untold(settings, 2, seconds(1'000'000), now, extras);
+  for (Planner* each : {&teller, &told, &untold}) each->Report(roster, now);
+  LetIn(teller, now, 10, 200);  // some twenty times its rate
+  now += seconds(2);
+  std::string bytes;
+  while (bytes.empty() && teller.NextTick() && now < Clock::time_point(seconds(60))) {
+    now = std::max(now, *teller.NextTick());
+    for (const Step& step : teller.Tick(now)) {
+      if (const auto* tell = std::get_if<Tell>(&step)) bytes = tell->bytes;
+    }
+  }
+  REQUIRE(bytes.size() == 9);
+  told.Report(PeerReport{0, bytes}, now);
+  CHECK(LetIn(untold, now, 50, 0) > 20);
+  CHECK(LetIn(told, now, 50, 0) < 10);
+}
+
 TEST_CASE("an envelope is delivered, and a failed attempt goes to another next hop") {
   Bench bench;
   const EnvelopeNumber number = bench.Pick();
