Add the operators' door: readyz, metrics, drain and activate

Change: src/ops/ (state of the process, figures, meaning of the calls; no sockets), a request parser in src/http/, the door in src/net/ at a higher priority than all else in the loop, bounded callers. PING, readyz, drain and SIGTERM follow one state. Figures are counted at the final answer, at an attempt's last byte in the socket, at a reload; members and those avoided come from the module. The text comes from prometheus-cpp's core.

--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -285,6 +285,13 @@
   // Handles one event and appends what is to be done to `actions`. `now` never decreases.
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
 
+  // Servers in the list, and of these the ones that are avoided at this moment: draining, or taken out.
+  struct Roll {
+    std::size_t listed = 0;
+    std::size_t avoided = 0;
+  };
+  Roll Count(TimePoint now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -68,6 +68,9 @@
     out.discovery = ToAddress(
         file_wins ? TextOr(from, "discovery") : Choose(from, "discovery", environment, "ROUTER_DISCOVERY"),
         "discovery");
+    if (const std::string ops = Choose(from, "ops", environment, "ROUTER_OPS"); !ops.empty()) {
+      out.ops = ToAddress(ops, "ops");
+    }
     out.seed = ToSeed(from);
     if (const json* listen = Find(from, "peer_listen"); listen != nullptr && listen->is_string()) {
       out.peer_listen = listen->get<std::string>();
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -28,6 +28,7 @@
   std::string name;
   Address listen;
   Address discovery;
+  std::optional<Address> ops;  // where operators call; nothing: no door
   std::optional<Address> counter;  // nothing: the site has none
   // As given, for subsystems that talk to the other gatekeepers: ToPeers reads them.
   std::string peer_listen;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -144,6 +144,15 @@
     out_ = nullptr;
   }
 
+  Roll Count(TimePoint now) const {
+    Roll out;
+    for (const auto& [id, s] : servers_) {
+      out.listed += s.listed;
+      out.avoided += s.listed && (s.info.state != ServerState::kUp || now < s.ejected_until);
+    }
+    return out;
+  }
+
  private:
   struct Attempt {
     std::string server;
@@ -183,7 +192,7 @@
     TimePoint settle_since{0};
     double inside = 1.0;  // share of its asks that found room: totals lack what was taken back
     double demand = 0.0;  // asked, over the rate, by the last total or as others tell
-    bool sliced = false;                // the local slice stands in for the counter
+    bool sliced = false;  // the local slice stands in for the counter
     Bucket slice{};
     Bucket ceiling{};  // this gateway's even slice of the ceiling; empty after a start
     int open = 0;      // attempts out
@@ -848,8 +857,8 @@
     const auto& tries = r.attempts;
     const bool before = r.pin && r.pin->may_have_run;
     const auto ran = [](const Attempt& a) { return a.may_have_run; };
-    return (!before && std::none_of(tries.begin(), tries.end(), ran)) ||
-           Cls(r).repeat == Repeat::kSafe || (Cls(r).repeat == Repeat::kKeyed && Cls(r).scope == Scope::kAll);
+    return (!before && std::none_of(tries.begin(), tries.end(), ran)) || Cls(r).repeat == Repeat::kSafe ||
+           (Cls(r).repeat == Repeat::kKeyed && Cls(r).scope == Scope::kAll);
   }
 
   // Tells when to come back: not before there may be room, and not all at once. Guards against retry storms.
@@ -1045,6 +1054,7 @@
 Controller::Controller(Controller&&) noexcept = default;
 Controller& Controller::operator=(Controller&&) noexcept = default;
 
+Controller::Roll Controller::Count(TimePoint now) const { return impl_->Count(now); }
 void Controller::Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
   impl_->Handle(event, now, actions);
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -67,6 +67,7 @@
     net::Log("configuration read again", Partners(config));
     if (more) net::Log("configuration changed beyond that", "the rest holds from the next start on");
   } catch (const std::exception& error) {
+    program.gatekeeper->ReloadFailed();
     net::Log("new configuration is wrong, the old one stays", error.what());
   }
 }
@@ -78,7 +79,7 @@
   // Caught before the file is read, so that no signal ends the program or is missed on the way up: the loop
   // calls back only once it runs.
   const auto on_stop = [](evutil_socket_t, short, void* self) {
-    static_cast<Program*>(self)->gatekeeper->Drain();
+    static_cast<Program*>(self)->gatekeeper->Stop();
   };
   const auto on_reload = [](evutil_socket_t, short, void* self) { Reload(*static_cast<Program*>(self)); };
   const net::EventHandle term(evsignal_new(base.get(), SIGTERM, on_stop, &program));
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -14,11 +14,12 @@
 
 constexpr milliseconds kSettle{1'000};         // for discovery and the counter to answer after the start
 constexpr milliseconds kKeepServing{500};      // after SIGTERM new connections go on coming for a while
-constexpr milliseconds kDrainCheck{20};        // between two looks whether all is answered
+constexpr milliseconds kStopCheck{20};         // between two looks whether all is answered
 constexpr milliseconds kRetireCheck{50};       // between two looks whether an old counter is done with
 constexpr std::chrono::seconds kKeysLine{10};  // between two lines about the store of keys
 constexpr std::size_t kOtherSockets =
     16;  // log, loop, listener, discovery, counter and what the library holds
+constexpr std::size_t kDoorSockets = OpsDoor::kCallers + 1;
 constexpr std::size_t kBytesPerMb = 1 << 20;
 
 resp::Vocabulary ToVocabulary(const Settings& settings) {
@@ -43,7 +44,9 @@
   return config::ToPeers(config);
 }
 
-std::size_t Sockets(const config::Config& config) { return config.sockets - kOtherSockets; }
+std::size_t Sockets(const config::Config& config) {
+  return config.sockets - kOtherSockets - (config.ops ? kDoorSockets : 0);
+}
 
 }  // namespace
 
@@ -60,7 +63,7 @@
       max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
-      drain_(base, [this] { DrainStage(); }),
+      stop_(base, [this] { StopStage(); }),
       retire_(base, [this] { CloseRetired(); }),
       keys_(base, [this] { LogKeys(); }),
       pool_(base,
@@ -85,25 +88,71 @@
                    });
   }
   if (planner_.keeper() != nullptr) keys_.Arm(kKeysLine);
+  NameClasses();
+  if (config.ops) door_.emplace(base, *config.ops, static_cast<ops::Desk&>(*this));
+}
+
+// Each class is told with 0 from the start.
+void Gatekeeper::NameClasses() {
+  for (const ClassSettings& cls : config_.settings.classes) figures_.Of(cls.name);
 }
 
-bool Gatekeeper::Ready() const {
+bool Gatekeeper::Able() const {
   // An outage of the counter or of discovery must not keep a gatekeeper that has next hops from starting.
   const bool connected = (counters_.empty() || counters_.back().up()) && discovery_->heard();
   return ready_hops_ > 0 && (connected || settled_);
 }
 
+bool Gatekeeper::Ready() {
+  lifecycle_.SetAble(Able());
+  return lifecycle_.serves();
+}
+
+bool Gatekeeper::Ready(std::string_view& state) {
+  const bool ready = Ready();
+  state = ops::Name(lifecycle_.state());
+  return ready;
+}
+
+std::string Gatekeeper::Metrics() {
+  const Controller::Roll roll = planner_.Count(Clock::now());
+  return ops::Render(figures_,
+                     {.pending = held_.size(), .members = roll.listed, .members_unavailable = roll.avoided});
+}
+
+bool Gatekeeper::Drain() {
+  const bool begins = !lifecycle_.draining();
+  if (!lifecycle_.Drain(Clock::now())) return false;
+  if (begins) {
+    Log("drained", "by an operator's call");
+    sender_side_.Leave(ops::kDrainLeaving);
+  }
+  return true;
+}
+
+bool Gatekeeper::Activate() {
+  const bool ends = lifecycle_.draining();
+  if (!lifecycle_.Activate()) return false;
+  if (ends) {
+    Log("active again", "by an operator's call");
+    sender_side_.Stay();
+  }
+  return true;
+}
+
 planner::EnvelopeNumber Gatekeeper::Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
                                          Recipient::Ticket ticket) {
   if (held_.size() >= max_open_ || held_bytes_ + letter.size() > max_held_bytes_) {
     const Settings& settings = config_.settings;
+    ++figures_.Of(envelope.class_name).rejected;
     recipient.Defer(ticket, settings.retry_after ? std::chrono::ceil<milliseconds>(settings.max_retry_after)
                                                  : milliseconds(0));
     return 0;
   }
   const planner::Planner::Picked picked = planner_.Pick(envelope, Clock::now());
   held_bytes_ += letter.size();
-  held_.emplace(picked.number, Held{std::move(letter), &recipient, ticket});
+  held_.emplace(picked.number,
+                Held{std::move(letter), &recipient, ticket, &figures_.Of(envelope.class_name)});
   Run(picked.steps);
   RunQueued();
   return picked.number;
@@ -125,7 +174,10 @@
       return Report(std::move(kept));
     }
     const std::optional<Held> held = Release(report.envelope);
-    if (held && held->recipient != nullptr) held->recipient->Serve(held->ticket, value);
+    if (held && held->recipient != nullptr) {
+      ++held->figures->completed;
+      held->recipient->Serve(held->ticket, value);
+    }
   }
   Report(report);
 }
@@ -213,17 +265,22 @@
 void Gatekeeper::Do(planner::Defer& step) {
   const std::optional<Held> held = Release(step.envelope);
   if (!held || held->recipient == nullptr) return;
+  ++held->figures->rejected;
   held->recipient->Defer(held->ticket, std::chrono::ceil<milliseconds>(step.retry_after));
 }
 
 void Gatekeeper::Do(planner::Fail& step) {
   const std::optional<Held> held = Release(step.envelope);
-  if (held && held->recipient != nullptr) held->recipient->Fail(held->ticket, step.reason);
+  if (!held || held->recipient == nullptr) return;
+  ++held->figures->failed;
+  held->recipient->Fail(held->ticket, step.reason);
 }
 
 void Gatekeeper::Do(planner::Serve& step) {
   const std::optional<Held> held = Release(step.envelope);
-  if (held && held->recipient != nullptr) held->recipient->Serve(held->ticket, *step.value);
+  if (!held || held->recipient == nullptr) return;
+  ++held->figures->completed;
+  held->recipient->Serve(held->ticket, *step.value);
 }
 
 void Gatekeeper::Do(planner::Forget& step) { Release(step.envelope); }
@@ -265,6 +322,7 @@
   }
   if (!(discovery_->address() == config.discovery)) discovery_->MoveTo(config.discovery);
   planner_.SetLimits(operators.idempotency);
+  ++figures_.config_reloads;
   const bool keys_differ = operators.idempotency.enabled != operators_.idempotency.enabled ||
                            operators.idempotency.memory != operators_.idempotency.memory;
   return config.name != config_.name || !(config.listen == config_.listen) ||
@@ -293,20 +351,21 @@
   keys_told_ = counts;
 }
 
-void Gatekeeper::Drain() {
-  if (std::exchange(drain_begun_, true)) return;
+void Gatekeeper::Stop() {
+  if (lifecycle_.stopping()) return;
+  lifecycle_.Stop(Clock::now());
   Log("draining", "told to stop");
-  drain_.Arm(kKeepServing);
+  stop_.Arm(kKeepServing);
 }
 
-void Gatekeeper::DrainStage() {
+void Gatekeeper::StopStage() {
   sender_side_.Drain();
   if (sender_side_.empty()) {
     if (planner_.keeper() != nullptr) LogKeys();
     event_base_loopbreak(base_);
     return;
   }
-  drain_.Arm(kDrainCheck);
+  stop_.Arm(kStopCheck);
 }
 
 }  // namespace postspread::net
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -15,14 +15,18 @@
 #include "net/counter_client.h"
 #include "net/discovery_watch.h"
 #include "net/next_hop_pool.h"
+#include "net/ops_door.h"
 #include "net/peer_link.h"
 #include "net/sender_side.h"
 #include "operator/operator_file.h"
+#include "ops/calls.h"
+#include "ops/figures.h"
+#include "ops/lifecycle.h"
 #include "planner/planner.h"
 
 namespace postspread::net {
 
-class Gatekeeper final : private Intake, private AttemptListener, private CounterListener {
+class Gatekeeper final : private Intake, private AttemptListener, private CounterListener, private ops::Desk {
  public:
   // Listens at once; throws std::runtime_error where it can't.
   Gatekeeper(event_base* base, const config::Config& config,
@@ -35,26 +39,36 @@
   // only a restart can take on.
   bool Reload(const config::Config& config, const operator_file::OperatorFile& operators = {});
 
+  // A configuration has come with SIGHUP and was turned down.
+  void ReloadFailed() { ++figures_.config_reload_errors; }
+
   // SIGTERM has come: goes on for a while, then answers what was taken and ends the loop.
-  void Drain();
+  void Stop();
 
  private:
   struct Held {  // an envelope that is owed its final answer
     resp::Letter letter;
     Recipient* recipient = nullptr;  // null: its sender has gone, and its work goes on for others
     Recipient::Ticket ticket = 0;
+    ops::ClassFigures* figures = nullptr;  // of its class
   };
 
   // Intake
-  bool Ready() const override;
+  bool Ready() override;
   planner::EnvelopeNumber Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
                                Recipient::Ticket ticket) override;
   void SenderGone(planner::EnvelopeNumber number) override;
   // AttemptListener
   void AttemptEnded(const planner::AttemptReport& report, std::string_view value) override;
   void ProbeEnded(const planner::ProbeReport& report) override;
+  void AttemptWritten() override { ++figures_.upstream_requests; }
   // CounterListener
   void CounterAnswered(planner::CounterReport report) override;
+  // ops::Desk
+  bool Ready(std::string_view& state) override;
+  std::string Metrics() override;
+  bool Drain() override;
+  bool Activate() override;
 
   void RosterCame(config::Roster roster, planner::RosterScope scope);
   void Report(planner::ReportValue report);
@@ -73,7 +87,9 @@
   void Do(planner::AskCounter& step);
   void Do(planner::ProbeHop& step);
   void Do(planner::Note& step);
-  void DrainStage();
+  bool Able() const;
+  void NameClasses();
+  void StopStage();
   void DialCounter(const config::Address& address);
   void CloseRetired();
   void LogKeys();
@@ -92,12 +108,13 @@
   std::string message_;
   Timer tick_;
   Timer settle_;
-  Timer drain_;
+  Timer stop_;
   Timer retire_;
   Timer keys_;
   idempotency::Counts keys_told_;  // at the last line about the store of keys
   bool settled_ = false;
-  bool drain_begun_ = false;
+  ops::Lifecycle lifecycle_;
+  ops::Figures figures_;
   std::size_t ready_hops_ = 0;
   std::unordered_map<std::string, bool> hops_;  // by name: ready
   NextHopPool pool_;
@@ -105,6 +122,7 @@
   SenderSide sender_side_;
   std::optional<DiscoveryWatch> discovery_;
   std::optional<PeerLink> peers_;
+  std::optional<OpsDoor> door_;
 };
 
 }  // namespace postspread::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,10 +11,19 @@
 #include <utility>
 
 namespace postspread::net {
+namespace {
+
+constexpr int kCallbacksATurn = 64;  // of usual events, before urgent ones are looked for again
+
+}  // namespace
 
 EventBase MakeEventBase() {
-  EventBase base(event_base_new());
-  if (!base) throw std::runtime_error("no event loop");
+  const std::unique_ptr<event_config, Free<event_config_free>> config(event_config_new());
+  if (!config) throw std::runtime_error("no event loop");
+  event_config_set_max_dispatch_interval(config.get(), nullptr, kCallbacksATurn, kUsual);
+  EventBase base(event_base_new_with_config(config.get()));
+  if (!base || event_base_priority_init(base.get(), kUsual + 1) != 0)
+    throw std::runtime_error("no event loop");
   return base;
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -30,6 +30,11 @@
 using BufferEvent = std::unique_ptr<bufferevent, Free<bufferevent_free>>;
 using Listener = std::unique_ptr<evconnlistener, Free<evconnlistener_free>>;
 
+// Priorities of events: what is urgent runs before all else that is due, and is looked for again after some
+// other callbacks, so that it waits for no crowd.
+inline constexpr int kUrgent = 0;
+inline constexpr int kUsual = 1;
+
 // Throws std::runtime_error.
 EventBase MakeEventBase();
 
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -34,8 +34,8 @@
   bool Dial() {
     connection_ = net::Dial(
         pool_.base_, hop_.address, [](bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); },
-        nullptr, [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); },
-        this);
+        [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
+        [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); }, this);
     if (!connection_) return false;
     bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
     return true;
@@ -50,8 +50,10 @@
     need_ = 0;
     begun_ = begun;
     ends_ = begun + timeout;
+    written_ = is_probe_;
     if (up_) {
       Write(connection_.get(), message);
+      Written();
       timer_.Arm(timeout);
       return;
     }
@@ -94,6 +96,12 @@
     Close(never_ran ? AttemptResult::kCouldNotConnect : AttemptResult::kReset);
   }
 
+  // Counted when the last byte has gone to the socket, and once: not when it is in a buffer of ours.
+  void Written() {
+    if (!busy_ || !up_ || Unwritten(connection_.get()) > 0 || std::exchange(written_, true)) return;
+    pool_.listener_.AttemptWritten();
+  }
+
   void TimedOut() {
     if (!busy_) return;
     if (stalled_) return Malformed();
@@ -191,6 +199,7 @@
   bool up_ = false;
   bool busy_ = false;
   bool is_probe_ = false;
+  bool written_ = false;  // what is under way, to its last byte
   bool stalled_ = false;  // an answer has begun and not ended
   AttemptKey key_;
   std::size_t need_ = 0;
--- a/src/net/next_hop_pool.h
+++ b/src/net/next_hop_pool.h
@@ -31,6 +31,8 @@
   // `value` is the whole bulk string of a served attempt; it holds during the call.
   virtual void AttemptEnded(const planner::AttemptReport& report, std::string_view value) = 0;
   virtual void ProbeEnded(const planner::ProbeReport& report) = 0;
+  // The last byte of an attempt has gone to the next hop's socket.
+  virtual void AttemptWritten() = 0;
 
  protected:
   ~AttemptListener() = default;
--- /dev/null
+++ b/src/net/ops_door.cpp
@@ -0,0 +1,128 @@
+#include "net/ops_door.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <utility>
+
+#include "http/request.h"
+
+namespace postspread::net {
+namespace {
+
+constexpr std::chrono::milliseconds kPatience{5'000};  // for a caller's head, and for it to take the answer
+constexpr std::chrono::milliseconds kLinger{1'000};    // for a caller to close after the answer
+constexpr int kBacklog = 64;
+constexpr int kAcceptsATurn = 8;
+
+}  // namespace
+
+class OpsDoor::Caller {
+ public:
+  Caller(OpsDoor& door, evutil_socket_t fd) : door_(door), timer_(door.base_, [this] { TimedOut(); }) {
+    const int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    connection_.reset(bufferevent_socket_new(door.base_, fd, BEV_OPT_CLOSE_ON_FREE));
+    if (!connection_) {
+      evutil_closesocket(fd);
+      throw std::bad_alloc();
+    }
+    bufferevent_priority_set(connection_.get(), kUrgent);
+    bufferevent_setcb(
+        connection_.get(), [](bufferevent*, void* self) { static_cast<Caller*>(self)->Read(); },
+        [](bufferevent*, void* self) { static_cast<Caller*>(self)->Written(); },
+        [](bufferevent*, short what, void* self) {
+          auto* caller = static_cast<Caller*>(self);
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) caller->Gone((what & BEV_EVENT_ERROR) != 0);
+        },
+        this);
+    bufferevent_setwatermark(connection_.get(), EV_READ, 0, http::RequestParser::kMaxHead);
+    bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
+    timer_.Arm(kPatience);
+  }
+
+ private:
+  void Read() {
+    if (answered_) return Consume(connection_.get(), ReadSize(connection_.get()));  // a body nobody asked for
+    while (ReadSize(connection_.get()) > 0 && !parser_.done() && !parser_.broken()) {
+      Consume(connection_.get(), parser_.Feed(PeekFirst(connection_.get())));
+    }
+    if (parser_.broken())
+      return Answer({.status = 400, .body = std::string(parser_.error()) + "\n", .allow = {}});
+    if (parser_.done()) Answer(ops::Call(parser_.method(), parser_.target(), door_.desk_));
+  }
+
+  void Answer(const ops::Answer& answer) {
+    answered_ = true;
+    Write(connection_.get(), http::Response(answer.status, answer.body, answer.allow));
+    if (Unwritten(connection_.get()) == 0) Written();
+  }
+
+  // Our side is shut, and what still comes is read until the caller closes: closed with bytes unread the
+  // socket would be reset, and the answer with it.
+  void Written() {
+    if (!answered_ || std::exchange(shut_, true)) return;
+    shutdown(bufferevent_getfd(connection_.get()), SHUT_WR);
+    Consume(connection_.get(), ReadSize(connection_.get()));
+    timer_.Arm(kLinger);
+  }
+
+  void TimedOut() {
+    if (answered_) return door_.Remove(this);
+    Answer({.status = 408, .body = "the call was not finished in time\n", .allow = {}});
+    if (!shut_) timer_.Arm(kLinger);
+  }
+
+  // A caller that has shut its side may still read: what it is owed goes out first.
+  void Gone(bool error) {
+    if (error || !answered_ || shut_) door_.Remove(this);
+  }
+
+  OpsDoor& door_;
+  BufferEvent connection_;
+  Timer timer_;
+  http::RequestParser parser_;
+  bool answered_ = false;
+  bool shut_ = false;
+};
+
+OpsDoor::OpsDoor(event_base* base, const config::Address& listen, ops::Desk& desk)
+    : base_(base), desk_(desk) {
+  // Not evconnlistener: it has no priority, and a call must be let in however busy the loop is.
+  fd_ = socket(listen.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int one = 1;
+  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (fd_ < 0 || bind(fd_, listen.get(), listen.size()) != 0 || ::listen(fd_, kBacklog) != 0) {
+    if (fd_ >= 0) close(fd_);
+    throw std::runtime_error("can't listen for operators on " + listen.text());
+  }
+  accept_.reset(event_new(
+      base, fd_, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<OpsDoor*>(self)->Accept(); }, this));
+  event_priority_set(accept_.get(), kUrgent);
+  event_add(accept_.get(), nullptr);
+}
+
+OpsDoor::~OpsDoor() {
+  accept_.reset();
+  close(fd_);
+}
+
+void OpsDoor::Accept() {
+  for (int i = 0; i < kAcceptsATurn; ++i) {
+    const evutil_socket_t fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    // Silent callers must not keep out a true one, which says at once what it wants.
+    if (callers_.size() >= kCallers) callers_.pop_front();
+    callers_.push_back(std::make_unique<Caller>(*this, fd));
+  }
+}
+
+void OpsDoor::Remove(Caller* caller) {
+  callers_.remove_if([caller](const auto& c) { return c.get() == caller; });
+}
+
+}  // namespace postspread::net
--- /dev/null
+++ b/src/net/ops_door.h
@@ -0,0 +1,41 @@
+// The operators' door: a second address, HTTP/1.1, one call to a connection. What a call means:
+// src/ops/calls.h.
+#ifndef POSTSPREAD_NET_OPS_DOOR_H_
+#define POSTSPREAD_NET_OPS_DOOR_H_
+
+#include <cstddef>
+#include <list>
+#include <memory>
+
+#include "net/loop.h"
+#include "ops/calls.h"
+
+namespace postspread::net {
+
+class OpsDoor {
+ public:
+  // Callers held at once; where one more comes, the one that has been here longest goes.
+  static constexpr std::size_t kCallers = 12;
+
+  // Throws std::runtime_error where the address can't be listened on.
+  OpsDoor(event_base* base, const config::Address& listen, ops::Desk& desk);
+  ~OpsDoor();
+  OpsDoor(const OpsDoor&) = delete;
+  OpsDoor& operator=(const OpsDoor&) = delete;
+
+ private:
+  class Caller;
+
+  void Accept();
+  void Remove(Caller* caller);
+
+  event_base* base_;
+  ops::Desk& desk_;
+  int fd_ = -1;
+  EventHandle accept_;
+  std::list<std::unique_ptr<Caller>> callers_;  // the longest here first
+};
+
+}  // namespace postspread::net
+
+#endif  // POSTSPREAD_NET_OPS_DOOR_H_
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMaxPending = 128;              // answers owed on one connection
 constexpr std::size_t kMaxUnread = 128 * 1024;        // bytes of answers that a client has not taken
 constexpr std::size_t kReadAhead = 80 * 1024;         // bytes read before they are handled: one command fits
+constexpr std::chrono::milliseconds kLeaveCheck{20};  // between two looks at who is to be closed now
 constexpr std::chrono::milliseconds kUpkeep{250};     // between two looks at what stands still
 constexpr std::chrono::milliseconds kSilence{2'000};  // for a first command, the rest of one, or the next
 constexpr std::chrono::milliseconds kLeastIdle{300};  // of one that is closed to make room for others
@@ -109,6 +110,12 @@
   }
   bool lingering() const { return state_ == State::kLingering; }
 
+  // To be closed between requests from then on; nothing: kept.
+  void LeaveAt(std::optional<Clock::time_point> at) { leave_at_ = at; }
+  void LookLeaving() {
+    if (leave_at_) CloseBetweenRequests();
+  }
+
   void Drain() {
     if (state_ != State::kOpen) return;
     Read();
@@ -278,7 +285,8 @@
   }
 
   void CloseBetweenRequests() {
-    const bool closes = state_ == State::kClosing || (state_ == State::kOpen && side_.draining_);
+    const bool closes =
+        state_ == State::kClosing || (state_ == State::kOpen && (side_.draining_ || Leaves()));
     if (!closes || !slots_.empty() || Unwritten(connection_.get()) > 0) return;
     // Closed with bytes unread, the socket would be reset and the last answers with it: our side is shut, and
     // the rest is read until the client closes too. Seen as answers lost at restarts.
@@ -289,12 +297,16 @@
     linger_.Arm(kLinger);
   }
 
+  // Its time to be closed has come, and no command has begun to arrive: that one is taken first.
+  bool Leaves() const { return leave_at_ && Clock::now() >= *leave_at_ && idle(); }
+
   void Gone() { side_.Remove(this); }
 
   SenderSide& side_;
   Clock::time_point used_;  // when the last command was taken; at first, when it connected
   bool has_asked_ = false;  // a sound request has come
   std::optional<Clock::time_point> partial_since_;  // the first part of a command that is not whole yet
+  std::optional<Clock::time_point> leave_at_;
   bool protocol_error_ = false;
   BufferEvent connection_;
   Timer linger_;
@@ -318,7 +330,8 @@
                     [this] {
                       if (listener_) evconnlistener_enable(listener_.get());
                     }),
-      upkeep_(base, [this] { Upkeep(); }) {
+      upkeep_(base, [this] { Upkeep(); }),
+      leave_check_(base, [this] { LookLeaving(); }) {
   listener_.reset(evconnlistener_new_bind(
       base,
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
@@ -346,6 +359,32 @@
     return;
   }
   connections_.push_back(std::make_unique<Connection>(*this, fd));
+  if (leaving_)
+    connections_.back()->LeaveAt(std::max(Clock::now() + kFirstWord, *leaving_ + leaving_plan_.first));
+}
+
+void SenderSide::Leave(const ops::Leaving& leaving) {
+  leaving_ = Clock::now();
+  leaving_plan_ = leaving;
+  std::vector<Connection*> kept;
+  for (const auto& connection : connections_) kept.push_back(connection.get());
+  std::sort(kept.begin(), kept.end(), [](const auto* a, const auto* b) { return a->used() < b->used(); });
+  for (std::size_t i = 0; i < kept.size(); ++i) kept[i]->LeaveAt(*leaving_ + leaving.After(i, kept.size()));
+  leave_check_.Arm(kLeaveCheck);
+}
+
+void SenderSide::Stay() {
+  leaving_.reset();
+  leave_check_.Disarm();
+  for (const auto& connection : connections_) connection->LeaveAt(std::nullopt);
+}
+
+void SenderSide::LookLeaving() {
+  leave_check_.Arm(kLeaveCheck);
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    Connection& connection = **it++;  // it may go away
+    connection.LookLeaving();
+  }
 }
 
 // Clients hold at most a third of the descriptors for requests. Near that those are closed that were last
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -16,6 +16,7 @@
 #include "envelope.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "ops/lifecycle.h"
 #include "planner/types.h"
 #include "resp/request.h"
 
@@ -39,7 +40,7 @@
 class Intake {
  public:
   // Whether envelopes can be taken in and served.
-  virtual bool Ready() const = 0;
+  virtual bool Ready() = 0;
   // Takes an envelope; `recipient` gets its final answer, at once or later. Returns the envelope's number.
   virtual planner::EnvelopeNumber Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
                                        Recipient::Ticket ticket) = 0;
@@ -62,6 +63,10 @@
   // Stops accepting, takes what has been read so far, and closes every connection that owes no answer; each
   // other one as soon as it owes none.
   void Drain();
+  // Closes the kept connections between requests, each at its time; those that come meanwhile soon, too.
+  void Leave(const ops::Leaving& leaving);
+  // Takes that back: what has not been closed yet is kept.
+  void Stay();
   bool empty() const { return connections_.empty(); }
   std::size_t size() const { return connections_.size(); }
 
@@ -74,6 +79,7 @@
   void Remove(Connection* connection);
   bool MakeRoom();
   void Upkeep();
+  void LookLeaving();
   Clock::time_point Crowded(Clock::time_point now) const;
 
   event_base* base_;
@@ -81,6 +87,8 @@
   std::size_t max_connections_;
   Intake& intake_;
   bool draining_ = false;
+  std::optional<Clock::time_point> leaving_;  // since when kept connections are being closed
+  ops::Leaving leaving_plan_;
   Connections connections_;
   // Ids of requests that are owed an answer, by hash: another one under such an id is a fault of its client,
   // and passed on it could run in the other's place.
@@ -88,6 +96,7 @@
   Listener listener_;
   Timer accept_again_;
   Timer upkeep_;
+  Timer leave_check_;
   RareLog turned_away_, accept_failed_;
 };
 
--- /dev/null
+++ b/src/ops/figures.cpp
@@ -0,0 +1,63 @@
+#include "ops/figures.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+#include <vector>
+
+namespace postspread::ops {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+MetricFamily Family(const char* name, const char* help, MetricType type) {
+  MetricFamily out;
+  out.name = std::string("svc_") + name;
+  out.help = help;
+  out.type = type;
+  return out;
+}
+
+MetricFamily Counter(const char* name, const char* help, std::uint64_t value) {
+  MetricFamily out = Family(name, help, MetricType::Counter);
+  out.metric.emplace_back().counter.value = static_cast<double>(value);
+  return out;
+}
+
+MetricFamily Gauge(const char* name, const char* help, std::size_t value) {
+  MetricFamily out = Family(name, help, MetricType::Gauge);
+  out.metric.emplace_back().gauge.value = static_cast<double>(value);
+  return out;
+}
+
+MetricFamily ByClass(const char* name, const char* help, const Figures& figures,
+                     std::uint64_t ClassFigures::*member) {
+  MetricFamily out = Family(name, help, MetricType::Counter);
+  for (const auto& [class_name, counts] : figures.classes) {
+    ClientMetric& metric = out.metric.emplace_back();
+    metric.label.push_back({"lane", class_name});
+    metric.counter.value = static_cast<double>(counts.*member);
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string Render(const Figures& figures, const Levels& levels) {
+  return prometheus::TextSerializer().Serialize(
+      {ByClass("completed", "Requests served", figures, &ClassFigures::completed),
+       ByClass("rejected", "Requests refused", figures, &ClassFigures::rejected),
+       ByClass("failed", "Requests failed", figures, &ClassFigures::failed),
+       Counter("upstream_requests", "Attempts written whole to workers", figures.upstream_requests),
+       Gauge("pending", "Requests taken and not ended", levels.pending),
+       Gauge("members", "Workers in the list", levels.members),
+       Gauge("members_unavailable", "Listed workers that are avoided now", levels.members_unavailable),
+       Counter("config_reloads", "Configurations taken on at SIGHUP", figures.config_reloads),
+       Counter("config_reload_errors", "Configurations turned down at SIGHUP",
+               figures.config_reload_errors)});
+}
+
+}  // namespace postspread::ops
--- /dev/null
+++ b/src/ops/figures.h
@@ -0,0 +1,46 @@
+// What the gatekeeper counts, each where it happens and once. Plain numbers: one thread counts and reads.
+#ifndef POSTSPREAD_OPS_FIGURES_H_
+#define POSTSPREAD_OPS_FIGURES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace postspread::ops {
+
+// Requests by their final answer.
+struct ClassFigures {
+  std::uint64_t completed = 0;  // served: the value's last byte was handed to the client's connection
+  std::uint64_t rejected = 0;   // refused: trying again is harmless
+  std::uint64_t failed = 0;
+};
+
+struct Figures {
+  // By class, from when it was first configured for as long as the process lives: there are as many as the
+  // configurations have named. An entry's address never changes.
+  std::map<std::string, ClassFigures, std::less<>> classes;
+  std::uint64_t upstream_requests = 0;  // attempts whose last byte has gone to a next hop's socket
+  std::uint64_t config_reloads = 0;
+  std::uint64_t config_reload_errors = 0;
+
+  ClassFigures& Of(std::string_view name) {
+    const auto found = classes.find(name);
+    return found != classes.end() ? found->second : classes.try_emplace(std::string(name)).first->second;
+  }
+};
+
+// What is not counted but looked at, at the call.
+struct Levels {
+  std::size_t pending = 0;              // requests taken and not ended
+  std::size_t members = 0;              // next hops in the list
+  std::size_t members_unavailable = 0;  // of these: avoided now
+};
+
+// In the text format of Prometheus.
+std::string Render(const Figures& figures, const Levels& levels);
+
+}  // namespace postspread::ops
+
+#endif  // POSTSPREAD_OPS_FIGURES_H_
--- /dev/null
+++ b/src/ops/lifecycle.cpp
@@ -0,0 +1,46 @@
+#include "ops/lifecycle.h"
+
+namespace postspread::ops {
+
+bool Lifecycle::Drain(Clock::time_point now) {
+  if (stopped_) return false;
+  if (!drained_) drained_ = now;
+  return true;
+}
+
+bool Lifecycle::Activate() {
+  if (stopped_) return false;
+  drained_.reset();
+  return true;
+}
+
+void Lifecycle::Stop(Clock::time_point now) {
+  if (!stopped_) stopped_ = now;
+}
+
+Lifecycle::State Lifecycle::state() const {
+  if (stopped_) return State::kStopping;
+  if (drained_) return State::kDraining;
+  return able_ ? State::kServing : State::kStarting;
+}
+
+std::string_view Name(Lifecycle::State state) {
+  switch (state) {
+    case Lifecycle::State::kStarting:
+      return "starting";
+    case Lifecycle::State::kServing:
+      return "serving";
+    case Lifecycle::State::kDraining:
+      return "draining";
+    case Lifecycle::State::kStopping:
+      return "stopping";
+  }
+  return "";
+}
+
+std::chrono::milliseconds Leaving::After(std::size_t place, std::size_t count) const {
+  if (count <= 1) return first;
+  return first + (last - first) * static_cast<long>(place) / static_cast<long>(count - 1);
+}
+
+}  // namespace postspread::ops
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -59,6 +59,9 @@
   // When Tick is next wanted; nothing: not at all. May have changed after each call.
   std::optional<Clock::time_point> NextTick();
 
+  // Next hops in the list, and of these the ones that the decisions avoid now.
+  Controller::Roll Count(Clock::time_point now) { return controller_.Count(At(now)); }
+
   // Whether the envelope's answer is wanted in the report of its attempt: it is served by a step then.
   bool Keeps(EnvelopeNumber number) { return keeper_ && keeper_->Runs(number); }
   // Whether the envelope is needed after its sender has gone, until a Forget.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -3,6 +3,7 @@
 #include <random>
 #include <string>
 
+#include "http/request.h"
 #include "http/response.h"
 
 namespace postspread::http {
@@ -78,5 +79,58 @@
   }
 }
 
+TEST_CASE("a request's head is read however it is cut, and no further") {
+  std::mt19937 random(7);
+  for (int round = 0; round < 200; ++round) {
+    const std::string head = round % 2 == 0 ? "PUT /v1/gatekeeper/drain HTTP/1.1\r\nHost: a\r\nX-Y: \r\n\r\n"
+                                            : "\r\nPUT /v1/gatekeeper/drain HTTP/1.0\n\n";
+    const std::string bytes = head + "more";
+    RequestParser parser;
+    std::size_t used = 0;
+    while (!parser.done() && !parser.broken()) {
+      const std::size_t size = std::min<std::size_t>(1 + random() % 9, bytes.size() - used);
+      used += parser.Feed(std::string_view(bytes).substr(used, size));
+    }
+    CHECK(parser.done());
+    CHECK(used == head.size());
+    CHECK(parser.method() == "PUT");
+    CHECK(parser.target() == "/v1/gatekeeper/drain");
+  }
+}
+
+TEST_CASE("what is no request is broken, and says why") {
+  for (const char* bytes : {"GET\r\n", "GET /\r\n", "GET / x HTTP/1.1\r\n", "GET nowhere HTTP/1.1\r\n",
+                            "GET / HTTP/2.0\r\n", "G(T / HTTP/1.1\r\n", "GET /\x01 HTTP/1.1\r\n",
+                            "GET / HTTP/1.1\r\nno colon\r\n", "GET / HTTP/1.1\r\n folded: x\r\n", "*1\r\n"}) {
+    RequestParser parser;
+    parser.Feed(bytes);
+    CHECK(parser.broken());
+    CHECK(std::string(parser.error()).size() > 5);
+  }
+  RequestParser parser;
+  parser.Feed("GET / HTTP/1.1\r\nA: " + std::string(RequestParser::kMaxHead, 'x'));
+  CHECK(parser.broken());
+  std::mt19937 random(9);
+  const std::string alphabet = "GET /v1/ HTTP/1.1\r\n: abcPUT";
+  for (int round = 0; round < 5'000; ++round) {
+    std::string bytes = round % 2 == 0 ? "GET / HTTP/1.1\r\n" : "";
+    for (std::size_t i = random() % 60; i > 0; --i) bytes += alphabet[random() % alphabet.size()];
+    RequestParser garbage;
+    const std::size_t used = garbage.Feed(bytes);
+    CHECK((used == bytes.size() || garbage.done() || garbage.broken()));
+  }
+}
+
+TEST_CASE("a response tells its length, and what is allowed") {
+  CHECK(Response(200, "serving\n").find("HTTP/1.1 200 OK\r\n") == 0);
+  CHECK(Response(200, "serving\n").find("\r\nContent-Length: 8\r\n") != std::string::npos);
+  CHECK(Response(405, "", "PUT").find("\r\nAllow: PUT\r\n") != std::string::npos);
+  ResponseParser parser;  // our own client reads it
+  parser.Feed(Response(503, "starting\n"));
+  REQUIRE(parser.done());
+  CHECK(parser.status() == 503);
+  CHECK(parser.body() == "starting\n");
+}
+
 }  // namespace
 }  // namespace postspread::http
--- /dev/null
+++ b/tests/ops/process_test.cpp
@@ -0,0 +1,192 @@
+// The operators' door of the real program, by real calls over loopback.
+#include <algorithm>
+
+#include "partners/site.h"
+
+namespace postspread {
+namespace {
+
+using namespace site;
+
+std::string Ask(std::string_view id) {
+  return Command({"API.READ", "0000000000000001", id, "c=lookup,t=team,d=60000,units=1,spread=2,first=0"});
+}
+const char* const kServed = "*3\r\n$2\r\nhi\r\n$-1\r\n$9\r\nutil=0.25\r\n";
+
+int FreeNumber() {
+  Port free;
+  const int number = free.number();
+  free.Close();
+  return number;
+}
+
+// One call to a connection; the whole response.
+std::string Call(int port, const std::string& line) {
+  Peer peer = Connect(port);
+  peer.Send(line + " HTTP/1.1\r\nHost: gatekeeper\r\n\r\n");
+  std::string out = peer.Until("\r\n\r\n");
+  const std::size_t at = out.find("Content-Length: ");
+  REQUIRE(at != std::string::npos);
+  std::size_t length = std::stoul(out.substr(at + 16));
+  while (length > 0) {
+    const std::string part = peer.Until("\n");
+    out += part;
+    REQUIRE(part.size() <= length);
+    length -= part.size();
+  }
+  CHECK(peer.Ended());
+  return out;
+}
+bool Yes(const std::string& response) { return response.find("HTTP/1.1 200 ") == 0; }
+
+double Figure(int port, const std::string& name) {
+  const std::string text = Call(port, "GET /v1/metrics");
+  const std::size_t at = text.find("\n" + name + " ");
+  if (at == std::string::npos) FAIL("no figure " + name + " in " + text);
+  return std::stod(text.substr(at + name.size() + 2));
+}
+
+TEST_CASE("the door: calls, and what can't be read") {
+  const int ops = FreeNumber();
+  Site site(1, {{"ops", "127.0.0.1:" + std::to_string(ops)}});
+  site.Start(1);
+  CHECK(Yes(Call(ops, "GET /v1/readyz")));
+  CHECK(Call(ops, "GET /nowhere").find("HTTP/1.1 404 ") == 0);
+  CHECK(Call(ops, "POST /v1/readyz").find("\r\nAllow: GET\r\n") != std::string::npos);
+  Peer odd = Connect(ops);
+  odd.Send("what is this\r\n");
+  CHECK(odd.Line() == "HTTP/1.1 400 Bad Request\r\n");
+  Peer cut = Connect(ops);  // a head that comes in pieces
+  for (const char* piece : {"GE", "T /v1/rea", "dyz HTTP/1.1\r", "\nHost: x\r\n", "\r", "\n"}) {
+    cut.Send(piece);
+    usleep(2'000);
+  }
+  CHECK(cut.Line() == "HTTP/1.1 200 OK\r\n");
+}
+
+TEST_CASE("callers that finish no call do not keep out a true one") {
+  const int ops = FreeNumber();
+  Site site(1, {{"ops", "127.0.0.1:" + std::to_string(ops)}});
+  site.Start(1);
+  std::vector<Peer> silent;
+  for (int i = 0; i < 100; ++i) {
+    silent.push_back(Connect(ops));
+    if (i % 2 == 0) silent.back().Send("GET /v1/readyz HTTP/1.1\r\nHost:");
+  }
+  for (int i = 0; i < 3; ++i) CHECK(Yes(Call(ops, "GET /v1/readyz")));
+  CHECK(silent.front().Ended());  // the longest here went first
+}
+
+TEST_CASE("figures are those that clients and next hops count") {
+  const int ops = FreeNumber();
+  Site site(1, {{"ops", "127.0.0.1:" + std::to_string(ops)}, {"settings", {{"Limits", {{"MostTries", 1}}}}}});
+  site.Start(1);
+  CHECK(Figure(ops, "svc_completed{lane=\"lookup\"}") == 0);
+  CHECK(Figure(ops, "svc_members") == 1);
+  Peer client = site.Client();
+  client.Send(Ask("a"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  CHECK(Figure(ops, "svc_pending") == 1);
+  CHECK(Figure(ops, "svc_upstream_requests") == 1);
+  hop.Send(kServed);
+  client.Until("hi\r\n");
+  client.Send(Ask("b"));
+  site.Grant();
+  hop.Command();
+  hop.Send("-BUSY\r\n");
+  CHECK(client.Line() == "-BUSY\r\n");
+  client.Send(Command({"API.READ", "x"}));  // not a request of any class
+  client.Line();
+  CHECK(Figure(ops, "svc_completed{lane=\"lookup\"}") == 1);
+  CHECK(Figure(ops, "svc_rejected{lane=\"lookup\"}") == 1);
+  CHECK(Figure(ops, "svc_failed{lane=\"lookup\"}") == 0);
+  CHECK(Figure(ops, "svc_upstream_requests") == 2);
+  CHECK(Figure(ops, "svc_pending") == 0);
+  site.Reload(json::object());
+  site.Logged("configuration read again");
+  CHECK(Figure(ops, "svc_config_reloads") == 1);
+  site.Reload({{"settings", nullptr}});
+  site.Logged("new configuration is wrong");
+  CHECK(Figure(ops, "svc_config_reloads") == 1);
+  CHECK(Figure(ops, "svc_config_reload_errors") == 1);
+}
+
+TEST_CASE("an attempt counts once its last byte has gone to the socket, not when it is buffered") {
+  const int ops = FreeNumber();
+  Port full(0);  // connections to it come up only when one before is taken
+  Site site(1, {{"ops", "127.0.0.1:" + std::to_string(ops)}});
+  std::vector<Peer> crowd;
+  crowd.push_back(Connect(full.number()));
+  Peer watch = site.discovery().Accept();
+  watch.Until("\r\n\r\n");
+  const std::string list =
+      Site::List(true, {{{"name", "s-0"}, {"address", full.address()}, {"status", "Ready"}}}).dump();
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+  Peer calls = site.counter().Accept();
+  site.WaitUntilReady();
+  Peer client = site.Client();
+  client.Send(Ask("a"));
+  calls.Command();
+  calls.Send("$1\r\n1\r\n");
+  while (Figure(ops, "svc_pending") != 1) usleep(5'000);
+  CHECK(Figure(ops, "svc_upstream_requests") == 0);
+}
+
+TEST_CASE("a drain: no at once, served on, kept connections closed between requests, and back") {
+  const int ops = FreeNumber();
+  Site site(1, {{"ops", "127.0.0.1:" + std::to_string(ops)}});
+  site.Start(1);
+  Peer idle = site.Client();
+  idle.Send(Command({"PING"}));
+  CHECK(idle.Line() == "+PONG\r\n");
+  Peer busy = site.Client();
+  busy.Send(Ask("a"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  Peer cut = site.Client();  // a command that has begun to come when the drain begins
+  const std::string command = Ask("c");
+  cut.Send(command.substr(0, 40));
+  CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/drain")));
+  CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/drain")));
+  CHECK_FALSE(Yes(Call(ops, "GET /v1/readyz")));
+  idle.Send(Command({"PING"}));
+  CHECK(idle.Line() != "+PONG\r\n");
+  Peer late = site.Client();  // the front still sends for a moment
+  late.Send(Ask("b"));
+  site.Grant();
+  Peer second = site.hop(0).Accept();
+  second.Command();
+  second.Send(kServed);
+  CHECK(late.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(idle.Ended());
+  CHECK(late.Ended());
+  CHECK_FALSE(busy.HasMore());  // an answer is owed
+  cut.Send(command.substr(40));
+  site.Grant();
+  second.Command();
+  second.Send(kServed);
+  CHECK(cut.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(cut.Ended());
+  hop.Send(kServed);
+  CHECK(busy.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(busy.Ended());
+  CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/activate")));
+  CHECK(Yes(Call(ops, "GET /v1/readyz")));
+  Peer kept = site.Client();
+  kept.Send(Command({"PING"}));
+  CHECK(kept.Line() == "+PONG\r\n");
+
+  SECTION("SIGTERM in a drain ends the program") {
+    CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/drain")));
+    site.Terminate();
+    CHECK(kept.Ended());
+    kept.Close();
+    CHECK(site.Wait() == 0);
+  }
+}
+
+}  // namespace
+}  // namespace postspread
