Start a second process beside the first on an inherited socket, and leave it at SIGTERM

Cause: the second process of an upgrade exited with 1: it bound the clients' address and `peer_listen`, which the first one holds (SenderSide's evconnlistener_new_bind, PeerLink's bind).

Change: `$ROUTER_FD` is taken as the listening socket and accepted from once this process can serve; at SIGTERM it is left at once, never shut down, kept connections close between requests over 0.8 s, and a command that has begun to come may end by the longest deadline. `peer_listen` is bound shared: a probe and a test show that datagrams go to the one bound last. Without the variable nothing is new, but for commands under way at SIGTERM, which are no longer cut.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -71,6 +71,15 @@
     if (const std::string ops = Choose(from, "ops", environment, "ROUTER_OPS"); !ops.empty()) {
       out.ops = ToAddress(ops, "ops");
     }
+    if (const char* fd = environment("ROUTER_FD"); fd != nullptr && *fd != '\0') {
+      const std::string_view digits(fd);
+      int number = -1;
+      const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+      if (error != std::errc() || end != digits.data() + digits.size() || number < 0) {
+        throw ConfigError("ROUTER_FD is not the number of a descriptor: \"" + std::string(digits) + "\"");
+      }
+      out.inherited = number;
+    }
     out.seed = ToSeed(from);
     if (const json* listen = Find(from, "peer_listen"); listen != nullptr && listen->is_string()) {
       out.peer_listen = listen->get<std::string>();
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -34,6 +34,7 @@
   std::string peer_listen;
   std::vector<std::string> peers;
   std::string peers_all;
+  std::optional<int> inherited;  // the clients' listening socket, open already; nothing: listen by ourselves
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -12,8 +12,13 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kSettle{1'000};         // for discovery and the counter to answer after the start
-constexpr milliseconds kKeepServing{500};      // after SIGTERM new connections go on coming for a while
+constexpr milliseconds kSettle{1'000};       // for discovery and the counter to answer after the start
+constexpr milliseconds kKeepServing{500};    // after SIGTERM new connections go on coming for a while
+constexpr milliseconds kStartCheck{20};      // between two looks whether clients can be let in
+constexpr milliseconds kStartAnyway{3'000};  // after which they are let in all the same
+constexpr milliseconds kLongestStop{
+    2'000};  // for a command that has begun to come; a client may take as long
+constexpr ops::Leaving kStopLeaving{milliseconds(0), milliseconds(800)};
 constexpr milliseconds kStopCheck{20};         // between two looks whether all is answered
 constexpr milliseconds kRetireCheck{50};       // between two looks whether an old counter is done with
 constexpr std::chrono::seconds kKeysLine{10};  // between two lines about the store of keys
@@ -63,6 +68,8 @@
       max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
+      start_(base, [this] { StartAccepting(); }),
+
       stop_(base, [this] { StopStage(); }),
       retire_(base, [this] { CloseRetired(); }),
       keys_(base, [this] { LogKeys(); }),
@@ -71,7 +78,8 @@
              .idle = config.hop_idle,
              .connections = Sockets(config) / 2},
             *this),
-      sender_side_(base, config.listen, ToVocabulary(config.settings), Sockets(config) / 2, *this) {
+      sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings), Sockets(config) / 2,
+                   *this) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
@@ -83,12 +91,13 @@
   settle_.Arm(kSettle);
   if (std::optional<config::Peers> peers = PeersOf(config, operators)) {
     peers_.emplace(base, peers->listen, std::move(peers->each), std::move(peers->all),
-                   [this](int rank, std::string_view bytes) {
+                   config.inherited.has_value(), [this](int rank, std::string_view bytes) {
                      Report(planner::PeerReport{rank, std::string(bytes)});
                    });
   }
   if (planner_.keeper() != nullptr) keys_.Arm(kKeysLine);
   NameClasses();
+  if (config.inherited) start_.Arm(kStartCheck);
   if (config.ops) door_.emplace(base, *config.ops, static_cast<ops::Desk&>(*this));
 }
 
@@ -355,11 +364,35 @@
   if (lifecycle_.stopping()) return;
   lifecycle_.Stop(Clock::now());
   Log("draining", "told to stop");
+  stopped_ = Clock::now();
+  if (config_.inherited) {
+    // The other processes that hold the socket accept; what comes on kept connections is served until each is
+    // closed between two requests.
+    start_.Disarm();
+    sender_side_.LeaveInherited();
+    sender_side_.Leave(kStopLeaving);
+    return stop_.Arm(kStopLeaving.last + kStopCheck);
+  }
   stop_.Arm(kKeepServing);
 }
 
+// Clients are let in from an inherited socket once they can be served: until then the process before this one
+// does that, if there is one.
+void Gatekeeper::StartAccepting() {
+  if (!Able() && Clock::now() - started_ < kStartAnyway) return start_.Arm(kStartCheck);
+  sender_side_.StartAccepting();
+}
+
+// After SIGTERM a command that has begun to come may end: by the longest deadline, which is what the platform
+// waits for before it kills, and no longer than it waits for any.
+Clock::time_point Gatekeeper::StopBy() const {
+  microseconds longest{0};
+  for (const ClassSettings& cls : config_.settings.classes) longest = std::max(longest, cls.deadline);
+  return stopped_ + std::min<microseconds>(longest, kLongestStop);
+}
+
 void Gatekeeper::StopStage() {
-  sender_side_.Drain();
+  sender_side_.Drain(StopBy());
   if (sender_side_.empty()) {
     if (planner_.keeper() != nullptr) LogKeys();
     event_base_loopbreak(base_);
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -90,6 +90,8 @@
   bool Able() const;
   void NameClasses();
   void StopStage();
+  void StartAccepting();
+  Clock::time_point StopBy() const;
   void DialCounter(const config::Address& address);
   void CloseRetired();
   void LogKeys();
@@ -108,12 +110,15 @@
   std::string message_;
   Timer tick_;
   Timer settle_;
+  Timer start_;  // with an inherited socket: until it is accepted from
   Timer stop_;
   Timer retire_;
   Timer keys_;
   idempotency::Counts keys_told_;  // at the last line about the store of keys
   bool settled_ = false;
   ops::Lifecycle lifecycle_;
+  Clock::time_point started_ = Clock::now();
+  Clock::time_point stopped_;
   ops::Figures figures_;
   std::size_t ready_hops_ = 0;
   std::unordered_map<std::string, bool> hops_;  // by name: ready
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -29,9 +29,12 @@
 }  // namespace
 
 PeerLink::PeerLink(event_base* base, const config::Address& listen, std::vector<config::Address> peers,
-                   std::optional<config::Address> all, OnDatagram on_datagram)
+                   std::optional<config::Address> all, bool shared, OnDatagram on_datagram)
     : peers_(std::move(peers)), all_(std::move(all)), on_datagram_(std::move(on_datagram)) {
   fd_ = socket(listen.get()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  // The kernel gives datagrams to the process that bound last: the one that stays.
+  const int one = 1;
+  if (fd_ >= 0 && shared) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (fd_ < 0 || bind(fd_, listen.get(), listen.size()) != 0) {
     if (fd_ >= 0) close(fd_);
     throw std::runtime_error("can't listen for peers on " + listen.text());
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -18,10 +18,10 @@
  public:
   using OnDatagram = std::function<void(int rank, std::string_view bytes)>;
 
-  // `peers`: an address for each rank, the own one included. Throws std::runtime_error where `listen` can't
-  // be bound.
+  // `peers`: an address for each rank, the own one included. `shared`: another process may be bound there,
+  // too; datagrams come to the one that bound last. Throws std::runtime_error where `listen` can't be bound.
   PeerLink(event_base* base, const config::Address& listen, std::vector<config::Address> peers,
-           std::optional<config::Address> all, OnDatagram on_datagram);
+           std::optional<config::Address> all, bool shared, OnDatagram on_datagram);
   ~PeerLink();
   PeerLink(const PeerLink&) = delete;
   PeerLink& operator=(const PeerLink&) = delete;
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -116,9 +116,10 @@
     if (leave_at_) CloseBetweenRequests();
   }
 
-  void Drain() {
+  void Drain(Clock::time_point commands_until) {
     if (state_ != State::kOpen) return;
     Read();
+    if (state_ == State::kOpen && partial_since_ && Clock::now() < commands_until) return;
     // What has come is taken; nothing more is, or a client that always has one more request out would hold up
     // the end. It sends what was not read again elsewhere once it sees the close.
     if (state_ == State::kOpen && !Full()) state_ = State::kClosing;
@@ -285,8 +286,7 @@
   }
 
   void CloseBetweenRequests() {
-    const bool closes =
-        state_ == State::kClosing || (state_ == State::kOpen && (side_.draining_ || Leaves()));
+    const bool closes = state_ == State::kClosing || (state_ == State::kOpen && Leaves());
     if (!closes || !slots_.empty() || Unwritten(connection_.get()) > 0) return;
     // Closed with bytes unread, the socket would be reset and the last answers with it: our side is shut, and
     // the rest is read until the client closes too. Seen as answers lost at restarts.
@@ -320,25 +320,37 @@
   std::deque<Slot> slots_;  // the commands that are owed an answer, in order
 };
 
-SenderSide::SenderSide(event_base* base, const config::Address& listen, resp::Vocabulary vocabulary,
-                       std::size_t max_connections, Intake& intake)
+SenderSide::SenderSide(event_base* base, const config::Address& listen, std::optional<int> inherited,
+                       resp::Vocabulary vocabulary, std::size_t max_connections, Intake& intake)
     : base_(base),
       vocabulary_(std::move(vocabulary)),
       max_connections_(max_connections),
       intake_(intake),
+      inherited_(inherited.has_value()),
       accept_again_(base,
                     [this] {
                       if (listener_) evconnlistener_enable(listener_.get());
                     }),
       upkeep_(base, [this] { Upkeep(); }),
       leave_check_(base, [this] { LookLeaving(); }) {
-  listener_.reset(evconnlistener_new_bind(
-      base,
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-        static_cast<SenderSide*>(self)->Accept(fd);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, kBacklog, listen.get(),
-      static_cast<int>(listen.size())));
+  const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+    static_cast<SenderSide*>(self)->Accept(fd);
+  };
+  if (inherited) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    if (getsockopt(*inherited, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0) {
+      throw std::runtime_error("descriptor " + std::to_string(*inherited) + " does not listen");
+    }
+    evutil_make_socket_nonblocking(*inherited);
+    evutil_make_socket_closeonexec(*inherited);
+    listener_.reset(evconnlistener_new(base, accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_DISABLED,
+                                       /*backlog=*/0, *inherited));
+  } else {
+    listener_.reset(evconnlistener_new_bind(base, accept, this,
+                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+                                            kBacklog, listen.get(), static_cast<int>(listen.size())));
+  }
   if (!listener_) throw std::runtime_error("can't listen on " + listen.text());
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
     // Out of descriptors: trying again at once would spin.
@@ -442,18 +454,29 @@
   owned->Abandon();
 }
 
-void SenderSide::Drain() {
+void SenderSide::StartAccepting() {
+  if (inherited_ && listener_) evconnlistener_enable(listener_.get());
+}
+
+void SenderSide::LeaveInherited() {
+  if (!inherited_) return;
+  // What waits there is the other processes' to take: closing our descriptor of it resets nothing.
+  listener_.reset();
+  accept_again_.Disarm();
+}
+
+void SenderSide::Drain(Clock::time_point commands_until) {
   draining_ = true;
   // Called again until nothing is owed: the listener is there the first time only. Without the check a
   // SIGTERM with an answer owed was a crash.
   if (listener_) {
-    AcceptWaiting();
+    if (!inherited_) AcceptWaiting();
     listener_.reset();
     accept_again_.Disarm();
   }
   for (auto it = connections_.begin(); it != connections_.end();) {
     Connection& connection = **it++;  // it may go away
-    connection.Drain();
+    connection.Drain(commands_until);
   }
 }
 
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -53,16 +53,22 @@
 
 class SenderSide {
  public:
-  // Throws std::runtime_error where the address can't be listened on.
-  SenderSide(event_base* base, const config::Address& listen, resp::Vocabulary vocabulary,
-             std::size_t max_connections, Intake& intake);
+  // Listens on `listen`, or takes the socket `inherited` that listens there already and is shared with other
+  // processes: that one is accepted from once Accept is called, and is never shut down. Throws
+  // std::runtime_error where that can't be.
+  SenderSide(event_base* base, const config::Address& listen, std::optional<int> inherited,
+             resp::Vocabulary vocabulary, std::size_t max_connections, Intake& intake);
   ~SenderSide();
   SenderSide(const SenderSide&) = delete;
   SenderSide& operator=(const SenderSide&) = delete;
 
+  // Begins to accept from an inherited socket; nothing where that has begun, or accepting has ended.
+  void StartAccepting();
+  // Leaves an inherited socket to the other processes that hold it. Its own listener it keeps until Drain.
+  void LeaveInherited();
   // Stops accepting, takes what has been read so far, and closes every connection that owes no answer; each
-  // other one as soon as it owes none.
-  void Drain();
+  // other one as soon as it owes none. A command that has begun to come may end until `commands_until`.
+  void Drain(Clock::time_point commands_until);
   // Closes the kept connections between requests, each at its time; those that come meanwhile soon, too.
   void Leave(const ops::Leaving& leaving);
   // Takes that back: what has not been closed yet is kept.
@@ -86,6 +92,7 @@
   resp::Vocabulary vocabulary_;
   std::size_t max_connections_;
   Intake& intake_;
+  bool inherited_ = false;
   bool draining_ = false;
   std::optional<Clock::time_point> leaving_;  // since when kept connections are being closed
   ops::Leaving leaving_plan_;
--- a/tests/ops/process_test.cpp
+++ b/tests/ops/process_test.cpp
@@ -188,5 +188,93 @@
   }
 }
 
+TEST_CASE("an upgrade: two processes on one socket, each request answered once, nothing closed on") {
+  Port shared(64);
+  const int first_ops = FreeNumber(), second_ops = FreeNumber();
+  Site site(1, {{"ops", "127.0.0.1:" + std::to_string(first_ops)}}, false, nullptr, &shared);
+  site.Start(1);
+  Peer idle = site.Client();
+  idle.Send(Command({"PING"}));
+  CHECK(idle.Line() == "+PONG\r\n");
+  Peer busy = site.Client();
+  busy.Send(Ask("a"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  Peer slow = site.Client();  // takes its time to write
+  const std::string command = Ask("s");
+  slow.Send(command.substr(0, 50));
+
+  const pid_t first = site.Turn(site.Spawn({"ROUTER_OPS=127.0.0.1:" + std::to_string(second_ops)}));
+  Peer watch = site.discovery().Accept();  // the second one's
+  watch.Until("\r\n\r\n");
+  const std::string list = Site::List(true, site.Entries(0, 1, "Ready")).dump();
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+  Peer calls = site.counter().Accept();
+  const auto ready = [&] {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(second_ops);
+    const bool listens = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    return listens && Yes(Call(second_ops, "GET /v1/readyz"));
+  };
+  while (!ready()) usleep(10'000);
+  CHECK(Yes(Call(first_ops, "GET /v1/readyz")));  // both serve for a while
+
+  kill(first, SIGTERM);
+  CHECK(idle.Ended());
+  Peer fresh = site.Client();  // only the second one accepts now
+  fresh.Send(Ask("b"));
+  calls.Command();
+  calls.Send("$1\r\n1\r\n");
+  Peer other = site.hop(0).Accept();
+  CHECK(other.Command().at(2) == "b");
+  other.Send(kServed);
+  CHECK(fresh.Until("hi\r\n") == "$2\r\nhi\r\n");
+  slow.Send(command.substr(50));  // begun before, ended after: still the first one's
+  site.Grant();
+  Peer third = site.hop(0).Accept();
+  CHECK(third.Command().at(2) == "s");
+  third.Send(kServed);
+  CHECK(slow.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(slow.Ended());
+  hop.Send(kServed);
+  CHECK(busy.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(busy.Ended());
+  for (Peer* peer : {&idle, &busy, &slow}) peer->Close();
+  int status = -1;
+  REQUIRE(waitpid(first, &status, 0) == first);
+  CHECK(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 0);
+  fresh.Send(Command({"PING"}));  // the shared socket and its clients outlive the first process
+  CHECK(fresh.Line() == "+PONG\r\n");
+  Peer last = site.Client();
+  last.Send(Command({"PING"}));
+  CHECK(last.Line() == "+PONG\r\n");
+}
+
+TEST_CASE("of two sockets bound to one address for datagrams the one bound last gets them") {
+  const auto bound = [](sockaddr_in address) {
+    const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0), one = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    return fd;
+  };
+  const Socket first(bound(Loopback(0)));
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(first.fd(), reinterpret_cast<sockaddr*>(&address), &size);
+  const Socket second(bound(address));
+  const Socket from(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  for (int i = 0; i < 50; ++i) {
+    REQUIRE(sendto(from.fd(), "x", 1, 0, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 1);
+  }
+  char byte = 0;
+  int got = 0;
+  while (recv(second.fd(), &byte, 1, 0) == 1) ++got;
+  CHECK(got == 50);
+  CHECK(recv(first.fd(), &byte, 1, 0) < 0);
+}
+
 }  // namespace
 }  // namespace postspread
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -154,15 +154,16 @@
 // The program with its partners. Time limits of the settings are far off, so that none runs out by chance.
 class Site {
  public:
-  // `operators`: the text of an operator file to start with; null: none.
+  // `operators`: the text of an operator file to start with; null: none. `inherited`: the clients' listening
+  // socket, which the process gets as descriptor 7.
   explicit Site(int hops, json changes = json::object(), bool with_variables = false,
-                const char* operators = nullptr)
-      : hops_(static_cast<std::size_t>(hops)) {
+                const char* operators = nullptr, Port* inherited = nullptr)
+      : hops_(static_cast<std::size_t>(hops)), inherited_(inherited) {
     Port free;
-    port_ = free.number();
+    port_ = inherited != nullptr ? inherited->number() : free.number();
     free.Close();
     config_ = {{"name", "n0"},
-               {"listen", free.address()},
+               {"listen", "127.0.0.1:" + std::to_string(port_)},
                {"discovery", discovery_.address()},
                {"counter", counter_.address()},
                {"seed", "1"},
@@ -181,25 +182,34 @@
     config_.merge_patch(changes);
     path_ = "process_test_" + std::to_string(getpid()) + "_" + std::to_string(port_) + ".json";
     std::ofstream(path_) << config_.dump();
-    const std::string variable = "ROUTER_CONFIG=" + path_;
-    const std::string other = "ROUTER_DISCOVERY=" + discovery_.address();
-    std::vector<char*> environment{const_cast<char*>(variable.c_str())};
-    if (with_variables) environment.push_back(const_cast<char*>(other.c_str()));
+    operator_path_ = operators != nullptr ? path_ + ".conf" : "";
+    if (operators != nullptr) std::ofstream(operator_path_) << operators;
+    std::vector<std::string> variables;
+    if (with_variables) variables.push_back("ROUTER_DISCOVERY=" + discovery_.address());
+    pid_ = Spawn(variables);
+  }
+  // Another process beside the one that runs, with these variables beside the usual ones.
+  pid_t Spawn(std::vector<std::string> variables) {
+    variables.push_back("ROUTER_CONFIG=" + path_);
+    if (inherited_ != nullptr) variables.push_back("ROUTER_FD=7");
+    std::vector<char*> environment;
+    for (std::string& variable : variables) environment.push_back(variable.data());
     for (char** e = environ; *e != nullptr; ++e) environment.push_back(*e);
     environment.push_back(nullptr);
-    const std::string operator_path = path_ + ".conf";
-    if (operators != nullptr) std::ofstream(operator_path) << operators;
     char* arguments[] = {const_cast<char*>(GATEKEEPER), nullptr, nullptr, nullptr};
-    if (operators != nullptr) {
+    if (!operator_path_.empty()) {
       arguments[1] = const_cast<char*>("--operator");
-      arguments[2] = const_cast<char*>(operator_path.c_str());
+      arguments[2] = operator_path_.data();
     }
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log().c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log().c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0600);
-    REQUIRE(posix_spawn(&pid_, GATEKEEPER, &actions, nullptr, arguments, environment.data()) == 0);
+    if (inherited_ != nullptr) posix_spawn_file_actions_adddup2(&actions, inherited_->fd(), 7);
+    pid_t pid = -1;
+    REQUIRE(posix_spawn(&pid, GATEKEEPER, &actions, nullptr, arguments, environment.data()) == 0);
     posix_spawn_file_actions_destroy(&actions);
+    return pid;
   }
   ~Site() {
     if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
@@ -258,6 +268,8 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
   void Terminate() { kill(pid_, SIGTERM); }
+  // From now on `pid` is the process that is meant; returns the one before.
+  pid_t Turn(pid_t pid) { return std::exchange(pid_, pid); }
   void Pause() { kill(pid_, SIGSTOP); }
   void Resume() { kill(pid_, SIGCONT); }
   // Replaces the operator file; a reload reads it too.
@@ -315,7 +327,8 @@
   std::vector<Peer> watch_, calls_;
   json config_;
   double total_ = 0;
-  std::string path_;
+  Port* inherited_ = nullptr;
+  std::string path_, operator_path_;
   int port_ = 0;
   pid_t pid_ = -1;
 };
