Take on new settings at SIGHUP, and turn down a file that is not whole

At a reload every key of the file in force must be there; deadlines and attempts must be positive. Plans by other names wait for a restart.

Ruled out before: the vocabulary alone (classes would be taken in and the module would not know them, kUnknown: unsafe, one second).

--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -285,6 +285,11 @@
   // Handles one event and appends what is to be done to `actions`. `now` never decreases.
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
 
+  // Takes on other settings for what comes from now on. A request keeps its class's rules and its number of
+  // attempts until it ends, and what was learnt stays. The plans must be as many and in the same order; a
+  // class keeps its place in the list, and a place without a name is no class.
+  void Reconfigure(Settings settings);
+
   // Servers in the list, and of these the ones that are avoided at this moment: draining, or taken out.
   struct Roll {
     std::size_t listed = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,7 +1,9 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <iterator>
 #include <limits>
 #include <sstream>
 
@@ -54,6 +56,27 @@
   return value;
 }
 
+void Keys(const json& from, const std::string& path, std::vector<std::string>& out) {
+  if (from.is_object()) {
+    for (const auto& [key, value] : from.items()) {
+      if (value.is_null()) continue;
+      const std::string at = path.empty() ? key : path + "." + key;
+      out.push_back(at);
+      if (at != "known") Keys(value, at, out);
+    }
+  } else if (from.is_array() && !from.empty()) {
+    std::vector<std::string> all;
+    for (std::size_t i = 0; i < from.size(); ++i) {
+      std::vector<std::string> own, both;
+      Keys(from[i], path + "[]", own);
+      std::sort(own.begin(), own.end());
+      std::set_intersection(all.begin(), all.end(), own.begin(), own.end(), std::back_inserter(both));
+      all = i == 0 ? std::move(own) : std::move(both);
+    }
+    out.insert(out.end(), all.begin(), all.end());
+  }
+}
+
 }  // namespace
 
 Config Decode(std::string_view text, const Environment& environment, Discovery discovery) {
@@ -107,6 +130,8 @@
     });
     if (out.settings.classes.empty()) throw ConfigError("settings: member \"Classes\" is empty");
     if (out.settings.plans.empty()) throw ConfigError("settings: member \"Contracts\" is empty");
+    Keys(from, "", out.keys);
+    std::sort(out.keys.begin(), out.keys.end());
     if (out.settings.has_counter) out.counter = ToAddress(TextOr(from, "counter"), "counter");
     return out;
   });
@@ -140,8 +165,17 @@
 
 Config Load(const Environment& environment) { return Decode(ReadFile(environment), environment); }
 
-Config Reload(const Environment& environment) {
-  return Decode(ReadFile(environment), environment, Discovery::kFromFile);
+void CheckWhole(const Config& next, const Config& in_force) {
+  std::vector<std::string> missing;
+  std::set_difference(in_force.keys.begin(), in_force.keys.end(), next.keys.begin(), next.keys.end(),
+                      std::back_inserter(missing));
+  if (!missing.empty()) throw ConfigError("\"" + missing.front() + "\" is missing");
+}
+
+Config Reload(const Environment& environment, const Config& in_force) {
+  Config out = Decode(ReadFile(environment), environment, Discovery::kFromFile);
+  CheckWhole(out, in_force);
+  return out;
 }
 
 }  // namespace postspread::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -28,7 +28,7 @@
   std::string name;
   Address listen;
   Address discovery;
-  std::optional<Address> ops;  // where operators call; nothing: no door
+  std::optional<Address> ops;      // where operators call; nothing: no door
   std::optional<Address> counter;  // nothing: the site has none
   // As given, for subsystems that talk to the other gatekeepers: ToPeers reads them.
   std::string peer_listen;
@@ -42,6 +42,9 @@
   Settings settings;
   std::chrono::microseconds hop_idle{0};  // a next hop closes a connection that stood idle for so long
   std::size_t max_open = 0;               // envelopes held at once
+  // The file's keys, sorted, as "settings.Limits.MostTries"; of a list's elements those that all of them
+  // have, as "settings.Classes[].Aim". Below `known` none are kept.
+  std::vector<std::string> keys;
 };
 
 // Where the gatekeepers of the group are reached by datagrams.
@@ -59,8 +62,12 @@
 Config Load(const Environment& environment);
 
 // The same while the program runs: the file has been replaced, and variables are as they were at the start.
-// So the file's `discovery` wins; the rest of the environment still does over the file.
-Config Reload(const Environment& environment);
+// So the file's `discovery` wins; the rest of the environment still does over the file. A key that the file
+// in force has must be there, also where a default would do at a start: a file without it is not whole.
+Config Reload(const Environment& environment, const Config& in_force);
+
+// Throws ConfigError where `next` lacks a key that `in_force` has.
+void CheckWhole(const Config& next, const Config& in_force);
 
 // Which of the two names discovery, where both do.
 enum class Discovery { kFromVariable, kFromFile };
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -106,28 +106,32 @@
   }
 };
 
-enum Due : std::uint64_t {
-  kSweepDue = 1,
-  kDeadlineDue,
-  kAskDue,
-  kReleaseDue,
-  kCheckDue,
-  kRetryDue,
-  kLateDue,
-  kSubscribeDue
-};
+enum Due { kSweepDue = 1, kEndDue, kAskDue, kFreeDue, kCheckDue, kRetryDue, kLateDue, kListDue };
 std::uint64_t Token(Due kind, RequestId id) { return static_cast<std::uint64_t>(kind) << 48 | id; }
 
 }  // namespace
 
 class Controller::Impl {
  public:
-  Impl(Settings settings, std::uint64_t seed, TimePoint now)
-      : set_(std::move(settings)), random_(Mix(seed)), now_(now), start_(now) {
-    for (auto& c : set_.classes) max_aim_ = std::max(max_aim_, c.aim);
-    traffic_.assign(set_.classes.size() * set_.plans.size(), Fading{});
-    class_latency_.assign(set_.classes.size(), 0.0);
-    class_plain_.assign(set_.classes.size(), 0.0);
+  Impl(Settings settings, std::uint64_t seed, TimePoint now) : random_(Mix(seed)), now_(now), start_(now) {
+    Reconfigure(std::move(settings));
+  }
+
+  void Reconfigure(Settings next) {
+    const std::size_t classes = next.classes.size(), plans = next.plans.size();
+    traffic_.resize(classes * plans);
+    class_latency_.resize(classes);
+    class_plain_.resize(classes);
+    rules_.clear();
+    max_aim_ = Duration(0);
+    for (std::size_t i = 0; i < classes; ++i) {
+      rules_.push_back(std::make_shared<const ClassSettings>(next.classes[i]));
+      max_aim_ = std::max(max_aim_, rules_[i]->aim);
+      if (i < set_.classes.size() && set_.classes[i].name == rules_[i]->name) continue;
+      class_latency_[i] = class_plain_[i] = 0;
+      std::fill_n(traffic_.begin() + static_cast<std::ptrdiff_t>(i * plans), plans, Fading{});
+    }
+    set_ = std::move(next);
   }
 
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
@@ -166,7 +170,8 @@
 
   struct Request {
     RequestId id = 0;
-    int cls = -1, plan = -1;  // in the settings; -1: not there
+    int cls = -1, plan = -1, most_attempts = 1;  // of the settings as they were when it came; -1: not there
+    std::shared_ptr<const ClassSettings> rules;
     std::string customer;
     double units = 1.0, weight = 1.0;
     TimePoint deadline{0}, aim_at{0};
@@ -241,7 +246,7 @@
 
   const ClassSettings& Cls(const Request& r) const {
     static const ClassSettings kUnknown{"", kEjectFirst, kEjectFirst, Repeat::kUnsafe};
-    return r.cls < 0 ? kUnknown : set_.classes[static_cast<std::size_t>(r.cls)];
+    return r.rules == nullptr ? kUnknown : *r.rules;
   }
   const PlanSettings& Plan(int plan) const {
     static const PlanSettings kUnknown;
@@ -254,8 +259,9 @@
     Request& r = requests_.insert_or_assign(e.id, Request{}).first->second;
     r.id = e.id;
     for (std::size_t i = 0; i < set_.classes.size(); ++i) {
-      if (set_.classes[i].name == e.class_name) r.cls = static_cast<int>(i);
+      if (set_.classes[i].name == e.class_name) r.cls = static_cast<int>(i), r.rules = rules_[i];
     }
+    r.most_attempts = set_.max_attempts;
     for (std::size_t i = 0; i < set_.plans.size(); ++i) {
       if (set_.plans[i].name == e.plan) r.plan = static_cast<int>(i);
     }
@@ -266,7 +272,7 @@
     if (r.pin) r.key_until = now_ - r.pin->age + Cls(r).key_ttl;
     r.deadline = now_ + e.time_left;
     r.aim_at = now_ + std::min(Cls(r).aim, e.time_left);
-    Do(SetTimer{std::max(Duration(0), e.time_left - set_.tick), Token(kDeadlineDue, r.id)});
+    Do(SetTimer{std::max(Duration(0), e.time_left - set_.tick), Token(kEndDue, r.id)});
     retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryShare);
     if (Shed(r)) return Refused(r, FromSeconds(MemoryS()));  // sooner the load figures would say the same
 
@@ -522,7 +528,7 @@
 
   void Delay(Request& r, TimePoint release) {
     r.stage = Stage::kDelayed;
-    Do(SetTimer{release - now_, Token(kReleaseDue, r.id)});
+    Do(SetTimer{release - now_, Token(kFreeDue, r.id)});
   }
 
   // Sending beyond the quota pays while servers have room: it earns more than it costs.
@@ -648,11 +654,10 @@
 
   // One draw over all servers gives a cold one its warmth's share of a warm one's traffic (up to half of the
   // fall multiple of it where most are cold): summed over any number of gateways too. All else goes to the
-  // cheapest of a few warm ones: a gateway that hears a server less than
-  // once a second keeps to its own few, by its rank, and one drawn. Guards
-  // against knowing little of many servers: hundreds of gateways would each have to meet a bad server to
-  // leave it. Harm: a gateway far busier than the rest loads its few. Those that are out or were tried come
-  // in only when no other is left.
+  // cheapest of a few warm ones: a gateway that hears a server less than once a second keeps to its own few,
+  // by its rank, and one drawn. Guards against knowing little of many servers: hundreds of gateways would
+  // each have to meet a bad server to leave it. Harm: a gateway far busier than the rest loads its few. Those
+  // that are out or were tried come in only when no other is left.
   Server* Choose(const Request& r) {
     if (up_.empty()) return nullptr;
     const auto tried = [&r](const Server& s) {
@@ -686,7 +691,7 @@
   // ---- Attempts and outcomes ----
 
   void Dispatch(Request& r) {
-    if (std::ssize(r.attempts) >= set_.max_attempts || now_ >= r.deadline) return Ended(r);
+    if (std::ssize(r.attempts) >= r.most_attempts || now_ >= r.deadline) return Ended(r);
     Server* s = Choose(r);
     // Where only cold ones are left the request ends: trying on would push them over.
     if (s == nullptr) return up_.empty() ? Do(SetTimer{kNoServerRetry, Token(kRetryDue, r.id)}) : Ended(r);
@@ -745,7 +750,7 @@
     if (Pressure(Cls(r)) > (set_.second_copies ? kRoomPressure : kPressureAim)) return;
     const bool stuck = it == servers_.end() || it->second.heard <= r.attempts.back().sent;
     const bool may = Cls(r).repeat != Repeat::kUnsafe && (set_.second_copies || set_.can_cancel) && !r.resend;
-    if (!stuck || !may || retry_budget_ < 1 || std::ssize(r.attempts) >= set_.max_attempts) return;
+    if (!stuck || !may || retry_budget_ < 1 || std::ssize(r.attempts) >= r.most_attempts) return;
     retry_budget_ -= 1;
     if (set_.second_copies) return Dispatch(r);
     r.resend = true;
@@ -900,7 +905,7 @@
   void On(const TimerEvent& e) {
     const auto kind = static_cast<Due>(e.token >> 48);
     if (kind == kSweepDue) return Sweep();
-    if (kind == kSubscribeDue) return Do(Subscribe{});
+    if (kind == kListDue) return Do(Subscribe{});
     const auto it = requests_.find(e.token & ((1ULL << 48) - 1));
     if (it == requests_.end()) return;
     Request& r = it->second;
@@ -913,11 +918,11 @@
     }
     if (r.stage == Stage::kDone) return;
     Customer* c = FindCustomer(r.customer);
-    if (kind == kDeadlineDue) {
+    if (kind == kEndDue) {
       Ended(r);
     } else if (kind == kAskDue && r.stage == Stage::kAsking && c != nullptr) {
       DecideLocally(r, *c);
-    } else if (kind == kReleaseDue && r.stage == Stage::kDelayed && c != nullptr) {
+    } else if (kind == kFreeDue && r.stage == Stage::kDelayed && c != nullptr) {
       Open(r, *c);
     } else if (kind == kCheckDue) {
       Check(r);
@@ -930,7 +935,7 @@
 
   void On(const RosterEvent& e) {
     const bool lost = e.kind == RosterKind::kError && set_.roster_mode == RosterMode::kSubscribe;
-    if (lost) Do(SetTimer{kEjectFirst, Token(kSubscribeDue, 0)});
+    if (lost) Do(SetTimer{kEjectFirst, Token(kListDue, 0)});
     if (e.servers == nullptr) return;
     if (e.kind != RosterKind::kPartial) {
       for (auto& [id, s] : servers_) s.listed = false;
@@ -964,7 +969,7 @@
     // Sheds more for as long as service takes too much of the slack, less as soon as it does not: what must
     // be shed for that depends on how often clients come again, which only the outcome shows.
     double worst = 0;
-    for (const auto& cls : set_.classes) worst = std::max(worst, Pressure(cls));
+    for (const auto& c : set_.classes) worst = std::max(worst, c.name.empty() ? 0.0 : Pressure(c));
     double change = kShedGain * std::min(1.0, 1 / MemoryS()) * (worst - kPressureAim);
     // Where servers report room the share goes at once: a gateway that sheds gets few answers, its pressure
     // stays chance just below the aim, and by that alone hundreds shed for half a minute while servers idle.
@@ -1019,6 +1024,7 @@
   }
 
   Settings set_;
+  std::vector<std::shared_ptr<const ClassSettings>> rules_;  // those of set_, for requests to hold
   std::uint64_t random_;
   TimePoint now_, start_, next_check_{0}, down_since_{0}, open_at_{0}, stall_end_{0};
   TimePoint failed_at_{-1}, cut_at_{0};  // the last failed ask, and the last cut of the share that asks
@@ -1054,9 +1060,10 @@
 Controller::Controller(Controller&&) noexcept = default;
 Controller& Controller::operator=(Controller&&) noexcept = default;
 
+void Controller::Reconfigure(Settings settings) { impl_->Reconfigure(std::move(settings)); }
 Controller::Roll Controller::Count(TimePoint now) const { return impl_->Count(now); }
-void Controller::Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
-  impl_->Handle(event, now, actions);
+void Controller::Handle(const Event& event, TimePoint now, std::vector<Action>& out) {
+  impl_->Handle(event, now, out);
 }
 
 }  // namespace postspread
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -60,7 +60,7 @@
 // Both files are decoded whole first: where one is wrong, all stays as it is.
 void Reload(Program& program) {
   try {
-    const config::Config config = config::Reload(Variable);
+    const config::Config config = config::Reload(Variable, program.gatekeeper->config());
     const operator_file::OperatorFile operators = ReadOperatorFile(program.options);
     CheckTogether(config, operators);
     const bool more = program.gatekeeper->Reload(config, operators);
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -332,12 +332,22 @@
   if (!(discovery_->address() == config.discovery)) discovery_->MoveTo(config.discovery);
   planner_.SetLimits(operators.idempotency);
   ++figures_.config_reloads;
+  Settings settings = config.settings;
+  const bool plans_stay = planner_.Reconfigure(settings);
+  if (plans_stay) settings.plans = config_.settings.plans;
+  sender_side_.SetVocabulary(ToVocabulary(settings));
   const bool keys_differ = operators.idempotency.enabled != operators_.idempotency.enabled ||
                            operators.idempotency.memory != operators_.idempotency.memory;
-  return config.name != config_.name || !(config.listen == config_.listen) ||
-         config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
-         config.settings != config_.settings || config.hop_idle != config_.hop_idle ||
-         config.max_open != config_.max_open || keys_differ;
+  const bool times_differ = config.settings.dial_timeout != config_.settings.dial_timeout ||
+                            config.settings.counter_timeout != config_.settings.counter_timeout;
+  const bool more = config.name != config_.name || !(config.listen == config_.listen) ||
+                    config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
+                    plans_stay || times_differ || config.hop_idle != config_.hop_idle ||
+                    config.max_open != config_.max_open || keys_differ;
+  config_.settings = std::move(settings);
+  config_.keys = config.keys;
+  NameClasses();
+  return more;
 }
 
 // A counter that was left goes once it owes nothing and another is up in its place, or once it is lost.
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -39,6 +39,7 @@
   // only a restart can take on.
   bool Reload(const config::Config& config, const operator_file::OperatorFile& operators = {});
 
+  const config::Config& config() const { return config_; }
   // A configuration has come with SIGHUP and was turned down.
   void ReloadFailed() { ++figures_.config_reload_errors; }
 
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <utility>
 
 #include "envelope.h"
 #include "net/log.h"
@@ -62,6 +63,8 @@
   SenderSide(const SenderSide&) = delete;
   SenderSide& operator=(const SenderSide&) = delete;
 
+  // What commands are checked against from now on.
+  void SetVocabulary(resp::Vocabulary vocabulary) { vocabulary_ = std::move(vocabulary); }
   // Begins to accept from an inherited socket; nothing where that has begun, or accepting has ended.
   void StartAccepting();
   // Leaves an inherited socket to the other processes that hold it. Its own listener it keeps until Drain.
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -87,22 +87,46 @@
 
 Planner::Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now,
                  const Extras& extras)
-    : wall_(wall), start_(now), last_(wall), controller_(settings, seed, wall) {
-  if (extras.demand.tell && extras.has_peers && settings.can_tell) {
-    board_.emplace(demand::Place{settings.group_size, settings.mail_per_s, seed}, wall);
+    : wall_(wall),
+      start_(now),
+      last_(wall),
+      settings_(std::move(settings)),
+      controller_(settings_, seed, wall) {
+  if (extras.demand.tell && extras.has_peers && settings_.can_tell) {
+    board_.emplace(demand::Place{settings_.group_size, settings_.mail_per_s, seed}, wall);
   }
   if (!extras.keys.enabled) return;
   keeper_.emplace(extras.keys,
-                  idempotency::Keeper::Place{.rank = settings.rank,
-                                             .group_size = settings.group_size,
+                  idempotency::Keeper::Place{.rank = settings_.rank,
+                                             .group_size = settings_.group_size,
                                              .has_peers = extras.has_peers,
                                              .life = static_cast<std::uint64_t>(wall.count())},
                   wall);
-  classes_ = settings.classes;
-  for (const PlanSettings& plan : settings.plans) plans_.push_back(plan.name);
-  warm_within_ = settings.warm_within;
-  advises_ = settings.retry_after;
-  max_retry_after_ = settings.max_retry_after;
+}
+
+bool Planner::Reconfigure(Settings settings) {
+  const bool same_plans =
+      std::equal(settings.plans.begin(), settings.plans.end(), settings_.plans.begin(), settings_.plans.end(),
+                 [](const auto& a, const auto& b) { return a.name == b.name; });
+  if (!same_plans) settings.plans = settings_.plans;
+  // Places are what requests under way are known by, here, in the module and in the store of keys.
+  const auto named = [](std::vector<ClassSettings>& in, const std::string& name) {
+    return std::find_if(in.begin(), in.end(), [&](const ClassSettings& c) { return c.name == name; });
+  };
+  std::vector<ClassSettings> places = std::move(settings_.classes);
+  for (ClassSettings& place : places) {
+    if (named(settings.classes, place.name) == settings.classes.end()) place = ClassSettings{};
+  }
+  for (ClassSettings& cls : settings.classes) {
+    auto place = named(places, cls.name);
+    if (place == places.end()) place = named(places, "");
+    if (place == places.end()) place = places.emplace(place);
+    *place = std::move(cls);
+  }
+  settings.classes = std::move(places);
+  settings_ = std::move(settings);
+  controller_.Reconfigure(settings_);
+  return !same_plans;
 }
 
 void Planner::SetLimits(const idempotency::Limits& keys) {
@@ -213,10 +237,11 @@
 std::optional<idempotency::Ask> Planner::ToAsk(const Envelope& envelope, EnvelopeNumber number,
                                                TimePoint now) const {
   if (!keeper_ || envelope.key.empty()) return std::nullopt;
-  const auto cls = std::find_if(classes_.begin(), classes_.end(),
+  const auto cls = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                 [&](const ClassSettings& c) { return c.name == envelope.class_name; });
-  const auto plan = std::find(plans_.begin(), plans_.end(), envelope.plan);
-  if (cls == classes_.end() || plan == plans_.end()) return std::nullopt;
+  const auto plan = std::find_if(settings_.plans.begin(), settings_.plans.end(),
+                                 [&](const PlanSettings& p) { return p.name == envelope.plan; });
+  if (cls == settings_.classes.end() || plan == settings_.plans.end()) return std::nullopt;
   idempotency::Ask out;
   out.waiter = number;
   out.key = idempotency::DigestKey(envelope.customer, envelope.class_name, envelope.key);
@@ -228,8 +253,8 @@
   out.pinned = cls->scope != Scope::kAll;
   std::copy_n(envelope.customer.begin(), std::min(envelope.customer.size(), out.work.customer.size()),
               out.work.customer.begin());
-  out.work.class_index = static_cast<std::int16_t>(cls - classes_.begin());
-  out.work.plan_index = static_cast<std::int16_t>(plan - plans_.begin());
+  out.work.class_index = static_cast<std::int16_t>(cls - settings_.classes.begin());
+  out.work.plan_index = static_cast<std::int16_t>(plan - settings_.plans.begin());
   out.work.spread = static_cast<std::int16_t>(envelope.spread);
   out.work.first = static_cast<std::int16_t>(envelope.first);
   out.work.units = static_cast<float>(envelope.units);
@@ -241,8 +266,8 @@
   open_.emplace(number, 0);
   RequestEvent out;
   out.id = number;
-  out.class_name = classes_[static_cast<std::size_t>(work.class_index)].name;
-  out.plan = plans_[static_cast<std::size_t>(work.plan_index)];
+  out.class_name = settings_.classes[static_cast<std::size_t>(work.class_index)].name;
+  out.plan = settings_.plans[static_cast<std::size_t>(work.plan_index)].name;
   out.customer.assign(work.customer.begin(), std::find(work.customer.begin(), work.customer.end(), '\0'));
   out.time_left = std::max<Duration>(std::chrono::milliseconds(1), time_left);
   out.units = work.units;
@@ -274,8 +299,8 @@
     } else if (const auto* serve = std::get_if<idempotency::Serve>(&action)) {
       steps_.emplace_back(Serve{serve->waiter, serve->value});
     } else if (const auto* defer = std::get_if<idempotency::Defer>(&action)) {
-      Duration advice = advises_ ? defer->retry_after : Duration(0);
-      if (max_retry_after_.count() > 0) advice = std::min(advice, max_retry_after_);
+      Duration advice = settings_.retry_after ? defer->retry_after : Duration(0);
+      if (settings_.max_retry_after.count() > 0) advice = std::min(advice, settings_.max_retry_after);
       steps_.emplace_back(Defer{defer->waiter, advice});
     } else if (const auto* fail = std::get_if<idempotency::Fail>(&action)) {
       steps_.emplace_back(planner::Fail{fail->waiter, ToReason(fail->reason)});
@@ -324,7 +349,7 @@
     ready.try_emplace(hop.cell, 0);
     if (hop.state != HopState::kReady) continue;
     ++ready[hop.cell];
-    if (now - hop.started >= warm_within_) ++warm[hop.cell];
+    if (now - hop.started >= settings_.warm_within) ++warm[hop.cell];
   }
   // Keys go to pods that are warm: a cold one would have to turn most of them away.
   std::vector<idempotency::Pod> pods;
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -41,6 +41,12 @@
   Planner(Settings settings, std::uint64_t seed, std::chrono::microseconds wall, Clock::time_point now)
       : Planner(std::move(settings), seed, wall, now, Extras{}) {}
 
+  // Takes on other settings for what comes from now on; what is under way keeps its rules, and what was
+  // learnt stays. Returns whether it left the plans as they were because theirs are not the same names in the
+  // same order.
+  bool Reconfigure(Settings settings);
+  // Places of classes, the empty ones too: no more than were configured at once.
+  std::size_t places() const { return settings_.classes.size(); }
   // Takes on what may change while it runs.
   void SetLimits(const idempotency::Limits& keys);
 
@@ -114,6 +120,7 @@
   std::chrono::microseconds wall_;
   Clock::time_point start_;
   TimePoint last_{0};
+  Settings settings_;  // in force; a class keeps its place, and one that went leaves it without a name
   Controller controller_;
   EnvelopeNumber next_number_ = 1;
   std::uint64_t next_order_ = 0;
@@ -122,11 +129,6 @@
   std::vector<Action> actions_;
   // The store of keys, where it is on.
   std::optional<idempotency::Keeper> keeper_;
-  std::vector<ClassSettings> classes_;
-  std::vector<std::string> plans_;
-  Duration warm_within_{0};
-  bool advises_ = false;  // clients are given the retry-after of a refusal
-  Duration max_retry_after_{0};
   std::unordered_map<std::string, NextHop> hops_;   // by name, but for those that are gone
   std::unordered_map<std::int64_t, NextHop> pods_;  // one of each pod's
   TimePoint pods_at_{0};
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -10,6 +10,7 @@
   out.name = Text(from, "Name");
   out.aim = Time(from, "Aim");
   out.deadline = Time(from, "HardLimit");
+  if (out.deadline.count() == 0) Bad("member \"HardLimit\" is not above 0");
   out.repeat = Word<Repeat>(
       from, "Effect", {{"safe", Repeat::kSafe}, {"keyed", Repeat::kKeyed}, {"unsafe", Repeat::kUnsafe}});
   out.scope = WordOr(from, "DedupScope", Scope::kAll,
@@ -41,7 +42,13 @@
 Settings DecodeSettings(const json& from) {
   if (!from.is_object()) Bad("member \"Info\" is not an object");
   Settings out;
-  for (const json& entry : Array(from, "Classes")) out.classes.push_back(DecodeClass(entry));
+  for (const json& entry : Array(from, "Classes")) {
+    const ClassSettings& cls = out.classes.emplace_back(DecodeClass(entry));
+    if (cls.name.empty()) Bad("member \"Name\" of a class is empty");
+    for (std::size_t i = 0; i + 1 < out.classes.size(); ++i) {
+      if (out.classes[i].name == cls.name) Bad("two classes are named \"" + cls.name + "\"");
+    }
+  }
   for (const json& entry : Array(from, "Contracts")) out.plans.push_back(DecodePlan(entry));
   if (Find(from, "Zones") != nullptr) {
     for (const json& zone : Array(from, "Zones")) out.zones.push_back(ToText(zone, "Zones"));
@@ -68,7 +75,8 @@
   out.mail_per_s = NumberOr(domain, "MailPerS", 0);
 
   const json& limits = Part(from, "Limits");
-  out.max_attempts = static_cast<int>(IntegerOr(limits, "MostTries", 1));
+  out.max_attempts =
+      Find(limits, "MostTries") == nullptr ? 1 : static_cast<int>(Integer(limits, "MostTries", 1, 1000));
   out.second_copies = FlagOr(limits, "SecondCopies");
   out.can_cancel = FlagOr(limits, "Cancelling");
   out.can_probe = FlagOr(limits, "Probes");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "json_read.h"
 
@@ -104,6 +105,89 @@
   CHECK_THROWS_WITH(Load([](const char*) { return "/nowhere"; }), "ROUTER_CONFIG: can't read /nowhere");
 }
 
+TEST_CASE("a file cut at any byte is turned down") {
+  const std::string whole = Sound().dump();
+  const auto none = [](const char*) { return static_cast<const char*>(nullptr); };
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_THROWS_AS(Decode(whole.substr(0, size), none), ConfigError);
+  }
+}
+
+// Every place in `from` that a key stands at, as a JSON pointer, but for those below `known`.
+void Places(const json& from, const std::string& path, std::vector<std::string>& out) {
+  if (!from.is_structured()) return;
+  for (const auto& [key, value] : from.items()) {
+    const std::string at = path + "/" + key;
+    if (from.is_object()) out.push_back(at);
+    if (at != "/known") Places(value, at, out);
+  }
+}
+
+TEST_CASE("a new file must have every key of the one in force, in each element of a list") {
+  json from = Sound();
+  json& classes = from["settings"]["Classes"];
+  classes.push_back(classes[0]);
+  classes[1]["Name"] = "order";
+  classes[1]["KeyTtl"] = 5;  // one element alone has it: it may go
+  const Config in_force = Read(from);
+  CHECK_NOTHROW(CheckWhole(Read(from), in_force));
+  std::vector<std::string> places;
+  Places(from, "", places);
+  CHECK(places.size() > 25);
+  for (const std::string& place : places) {
+    for (const bool null : {false, true}) {
+      json cut = from;
+      const json::json_pointer at(place);
+      null ? (void)(cut[at] = nullptr) : (void)cut[at.parent_pointer()].erase(at.back());
+      const auto read = [&] { CheckWhole(Read(cut), in_force); };
+      INFO(place);
+      if (place == "/settings/Classes/1/KeyTtl") {
+        CHECK_NOTHROW(read());
+      } else {
+        CHECK_THROWS_AS(read(), ConfigError);
+      }
+    }
+  }
+  json cut = from;
+  cut["settings"]["Classes"][1].erase("Aim");
+  CHECK(Fault(cut) == "settings: missing member \"Aim\"");
+  cut = from;
+  cut["settings"]["Limits"].erase("ConnIdle");
+  CHECK_THROWS_WITH(CheckWhole(Read(cut), in_force), "\"settings.Limits.ConnIdle\" is missing");
+}
+
+TEST_CASE("deadlines and the number of attempts are positive, classes have one name each") {
+  const auto with = [](const char* pointer, json value) {
+    json from = Sound();
+    from[json::json_pointer(pointer)] = std::move(value);
+    return Fault(from);
+  };
+  CHECK(with("/settings/Classes/0/HardLimit", 0) == "settings: member \"HardLimit\" is not above 0");
+  CHECK(with("/settings/Classes/0/HardLimit", -5) == "settings: member \"HardLimit\" is out of range");
+  CHECK(with("/settings/Classes/0/HardLimit", "9") == "settings: member \"HardLimit\" is not a whole number");
+  for (const json& value : {json(0), json(-1), json("4"), json(2.5), json::array()}) {
+    CHECK(with("/settings/Limits/MostTries", value).find("settings: member \"MostTries\"") == 0);
+  }
+  json from = Sound();
+  from["settings"]["Classes"].push_back(from["settings"]["Classes"][0]);
+  CHECK(Fault(from) == "settings: two classes are named \"lookup\"");
+}
+
+TEST_CASE("the inherited socket and the operators' address") {
+  CHECK_FALSE(Read(Sound()).inherited);
+  CHECK_FALSE(Read(Sound()).ops);
+  CHECK(Read(Sound(), {{"ROUTER_FD", "7"}}).inherited == 7);
+  for (const char* bad : {"x", "-1", "7x", " 7"}) {
+    CHECK_THROWS_AS(Read(Sound(), {{"ROUTER_FD", bad}}), ConfigError);
+  }
+  json from = Sound();
+  from["ops"] = "10.0.0.4:9100";
+  CHECK(Read(from).ops->text() == "10.0.0.4:9100");
+  CHECK(Read(from, {{"ROUTER_OPS", "10.0.0.4:9101"}}).ops->text() == "10.0.0.4:9101");
+  from["ops"] = "here";
+  CHECK(Fault(from) == "\"ops\" is not ADDRESS:PORT: \"here\"");
+}
+
 TEST_CASE("a next hop of unknown status gets nothing new") {
   json list = Sound()["known"];
   list["endpoints"][0]["status"] = "Warming";
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -148,6 +148,7 @@
   std::vector<Refuse> refused;
   std::vector<Fail> failed;
   std::vector<Cancel> cancelled;
+  Controller& control() { return control_; }
 
  private:
   Controller control_;
@@ -460,6 +461,61 @@
   EXPECT_TRUE(g.sends.empty());
 }
 
+TEST(Settings, ARequestKeepsTheRulesOfItsClassAndItsNumberOfAttempts) {
+  Gateway g;
+  g.Ask(1, 1, "safe");
+  g.Ask(2, 1, "unsafe");
+  g.Answer(1);
+  g.Answer(2);
+  Settings next = Gateway::Plain();
+  next.classes[0].repeat = Repeat::kUnsafe;
+  next.classes[1] = ClassSettings{};  // a place that has no class
+  next.max_attempts = 1;
+  g.control().Reconfigure(next);
+  g.End(0, Outcome::kError);  // it came as safe, with four attempts
+  ASSERT_EQ(g.sends.size(), 3U);
+  g.End(1, Outcome::kError);  // unsafe still, though its class has gone
+  EXPECT_EQ(g.sends.size(), 3U);
+  EXPECT_EQ(g.failed.size(), 1U);
+  g.Ask(3, 1, "safe");
+  g.Answer(3);
+  ASSERT_EQ(g.sends.size(), 4U);
+  g.End(3, Outcome::kFull);  // the new settings allow no second attempt
+  EXPECT_EQ(g.sends.size(), 4U);
+  g.Pass(seconds(5));
+}
+
+TEST(Settings, AClassThatIsNewTakesAPlaceAndKeepsNothingOfTheOneBefore) {
+  Gateway g;
+  Settings next = Gateway::Plain();
+  next.classes[1].name = "other";
+  next.classes.push_back(next.classes[0]);
+  next.classes[3].name = "fourth";
+  g.control().Reconfigure(next);
+  for (const char* cls : {"other", "fourth"}) {
+    g.Ask(static_cast<RequestId>(g.asks.size() + 1), 1, cls);
+    g.Answer(static_cast<double>(g.asks.size()));
+  }
+  EXPECT_EQ(g.sends.size(), 2U);
+  g.control().Reconfigure(Gateway::Plain());
+  g.Pass(seconds(3));
+}
+
+TEST(Figures, ServersThatDrainOrAreOutCountAsAvoided) {
+  Gateway g;
+  g.Servers({{"s1", "a"}, {"s2", "b"}, {"s3", "a"}, {"s4", "b"}});
+  EXPECT_EQ(g.control().Count(g.now).listed, 4U);
+  EXPECT_EQ(g.control().Count(g.now).avoided, 0U);
+  g.Ask(1, 1);
+  g.Answer(1);
+  g.End(0, Outcome::kConnectFailed);  // heard seldom, so one failure takes it out
+  EXPECT_EQ(g.control().Count(g.now).avoided, 1U);
+  EXPECT_EQ(g.control().Count(g.now + seconds(2)).avoided, 0U);
+  g.Servers({{"s1", "a"}, {"s2", "b"}}, ServerState::kDraining);
+  EXPECT_EQ(g.control().Count(g.now).listed, 2U);
+  EXPECT_EQ(g.control().Count(g.now).avoided, 2U);
+}
+
 // Each of hundreds of gateways once might send a cold server two requests at once. All together now send it
 // its share of a warm server's traffic, which is far under the fall budget, and do send it that.
 TEST(Rules, AColdServerGetsItsShareFromAnyNumberOfGateways) {
--- a/tests/ops/process_test.cpp
+++ b/tests/ops/process_test.cpp
@@ -188,6 +188,60 @@
   }
 }
 
+TEST_CASE("new settings: classes come and go, a request keeps the rules it came under") {
+  const int ops = FreeNumber();
+  const json lookup = {
+      {"Name", "lookup"}, {"Aim", 60'000'000}, {"HardLimit", 60'000'000}, {"Effect", "safe"}};
+  json later = lookup;
+  later["Name"] = "later";
+  later["Effect"] = "unsafe";
+  const auto settings = [](json classes, int tries) {
+    return json({{"settings", {{"Classes", std::move(classes)}, {"Limits", {{"MostTries", tries}}}}}});
+  };
+  json start = settings({lookup}, 2);
+  start["ops"] = "127.0.0.1:" + std::to_string(ops);
+  Site site(1, start);
+  site.Start(1);
+  const auto write = [](std::string_view id) {
+    return Command(
+        {"API.WRITE", "0000000000000001", id, "c=later,t=team,d=60000,units=1,spread=2,first=0", "x"});
+  };
+  Peer client = site.Client();
+  client.Send(write("early"));
+  CHECK(client.Line() == "-ERR unknown class\r\n");
+  client.Send(Ask("old"));
+  site.Grant();
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+
+  json more = settings({lookup, later}, 1);
+  more["ops"] = start["ops"];
+  site.Reload(more);
+  site.Logged("configuration read again");
+  CHECK(Figure(ops, "svc_completed{lane=\"later\"}") == 0);
+  Peer other = site.Client();
+  other.Send(write("new"));
+  site.Grant();
+  Peer second = site.hop(0).Accept();
+  CHECK(second.Command().at(2) == "new");
+
+  json fewer = settings({later}, 1);
+  fewer["ops"] = start["ops"];
+  site.Reload(fewer);
+  while (Figure(ops, "svc_config_reloads") != 2) usleep(5'000);
+  Peer third = site.Client();
+  third.Send(Ask("gone"));
+  CHECK(third.Line() == "-ERR unknown class\r\n");
+  second.Send("-ERR failed\r\n");  // it may have run, and its class allows no repeat
+  CHECK(other.Line() == "-ERR failed\r\n");
+  hop.Send("-ERR failed\r\n");  // one of two attempts, by the settings it came under: it goes out again
+  CHECK(second.Command().at(2) == "old");  // on the connection that is free
+  second.Send(kServed);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(Figure(ops, "svc_completed{lane=\"lookup\"}") == 1);  // a class that went is told of still
+  CHECK(Figure(ops, "svc_failed{lane=\"later\"}") == 1);
+}
+
 TEST_CASE("an upgrade: two processes on one socket, each request answered once, nothing closed on") {
   Port shared(64);
   const int first_ops = FreeNumber(), second_ops = FreeNumber();
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -208,5 +208,27 @@
   CHECK(*bench.planner.NextTick() == wanted);
 }
 
+TEST_CASE("classes that come and go take no more places than there were at once; other plans are left") {
+  Bench bench;
+  for (int round = 0; round < 50; ++round) {
+    Settings next = Site(false);
+    next.classes.push_back(next.classes[0]);
+    next.classes[1].name = "class" + std::to_string(round);
+    CHECK_FALSE(bench.planner.Reconfigure(next));
+    CHECK(bench.planner.places() == 2);
+    const Planner::Picked picked = bench.planner.Pick({.class_name = next.classes[1].name,
+                                                       .plan = "team",
+                                                       .customer = "0000000000000001",
+                                                       .patience = milliseconds(2000)},
+                                                      bench.now);
+    CHECK_FALSE(picked.steps.empty());
+  }
+  Settings other = Site(false);
+  other.plans[0].name = "crew";
+  CHECK(bench.planner.Reconfigure(other));
+  bench.Pick();
+  CHECK(std::holds_alternative<Deliver>(bench.last.at(0)));
+}
+
 }  // namespace
 }  // namespace postspread::planner
