--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -26,6 +26,13 @@
     16;  // log, loop, listener, discovery, counter and what the library holds
 constexpr std::size_t kDoorSockets = OpsDoor::kCallers + 1;
 constexpr std::size_t kBytesPerMb = 1 << 20;
+// Parts of the memory limit. A large command is copied once when it is taken, four megabytes at the most;
+// with the program's own eight and these parts all stays under the limit: docs/operations.md.
+constexpr std::size_t kLettersShare = 8;  // commands held for further attempts
+constexpr std::size_t kBodiesShare = 4;   // large ones, in reading and held
+constexpr std::size_t kPassingShare = 8;  // large values on their way, at both ends
+constexpr std::size_t kLeastWindow = 8 * 1024;
+constexpr std::size_t kMostWindow = 64 * 1024;
 
 resp::Vocabulary ToVocabulary(const Settings& settings) {
   resp::Vocabulary out;
@@ -65,7 +72,8 @@
                 .demand = operators.demand,
                 .has_peers = PeersOf(config, operators).has_value()}),
       max_open_(config.max_open),
-      max_held_bytes_(config.memory_mb * kBytesPerMb / 4),
+      letters_(config.memory_mb * kBytesPerMb / kLettersShare),
+      bodies_(std::max(resp::kMaxCommand, config.memory_mb * kBytesPerMb / kBodiesShare)),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
       start_(base, [this] { StartAccepting(); }),
@@ -79,7 +87,7 @@
              .connections = Sockets(config) / 2},
             *this),
       sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings), Sockets(config) / 2,
-                   *this) {
+                   bodies_, *this) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
@@ -125,8 +133,9 @@
 
 std::string Gatekeeper::Metrics() {
   const Controller::Roll roll = planner_.Count(Clock::now());
-  return ops::Render(figures_,
-                     {.pending = held_.size(), .members = roll.listed, .members_unavailable = roll.avoided});
+  return ops::Render(figures_, {.pending = held_.size() + passing_.size(),
+                                .members = roll.listed,
+                                .members_unavailable = roll.avoided});
 }
 
 bool Gatekeeper::Drain() {
@@ -151,7 +160,7 @@
 
 planner::EnvelopeNumber Gatekeeper::Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
                                          Recipient::Ticket ticket) {
-  if (held_.size() >= max_open_ || held_bytes_ + letter.size() > max_held_bytes_) {
+  if (held_.size() >= max_open_ || !Budget(letter).Take(letter.size())) {
     const Settings& settings = config_.settings;
     ++figures_.Of(envelope.class_name).rejected;
     recipient.Defer(ticket, settings.retry_after ? std::chrono::ceil<milliseconds>(settings.max_retry_after)
@@ -159,7 +168,6 @@
     return 0;
   }
   const planner::Planner::Picked picked = planner_.Pick(envelope, Clock::now());
-  held_bytes_ += letter.size();
   held_.emplace(picked.number,
                 Held{std::move(letter), &recipient, ticket, &figures_.Of(envelope.class_name)});
   Run(picked.steps);
@@ -167,7 +175,56 @@
   return picked.number;
 }
 
+flow::ByteBudget& Gatekeeper::Budget(const resp::Letter& letter) {
+  return letter.size() > resp::kMaxHead ? bodies_ : letters_;
+}
+
+void Gatekeeper::RoomAgain(planner::EnvelopeNumber number) {
+  const auto found = passing_.find(number);
+  if (found != passing_.end()) pool_.Resume({number, found->second.attempt});
+}
+
+AttemptListener::Value Gatekeeper::ValueBegins(const planner::AttemptReport& report) {
+  if (planner_.Keeps(report.envelope)) return Value::kWhole;
+  const std::optional<Held> held = Release(report.envelope);
+  if (!held || held->recipient == nullptr) return Value::kNone;
+  passing_.emplace(report.envelope, Passing{held->recipient, held->ticket, report.attempt, held->figures});
+  const std::size_t all = config_.memory_mb * kBytesPerMb / kPassingShare;
+  held->recipient->Begin(held->ticket, std::clamp(all / 2 / passing_.size(), kLeastWindow, kMostWindow));
+  // For the decisions the attempt has ended: what is left is the way to the client.
+  Report(report);
+  return Value::kPass;
+}
+
+std::size_t Gatekeeper::ValueRoom(planner::EnvelopeNumber envelope) {
+  const auto found = passing_.find(envelope);
+  return found == passing_.end() ? 0 : found->second.recipient->Room(found->second.ticket);
+}
+
+void Gatekeeper::PassValue(planner::EnvelopeNumber envelope, evbuffer* from, std::size_t size) {
+  const auto found = passing_.find(envelope);
+  if (found != passing_.end()) found->second.recipient->Pass(found->second.ticket, from, size);
+}
+
+void Gatekeeper::ValueEnded(planner::EnvelopeNumber envelope, bool whole) {
+  const auto found = passing_.find(envelope);
+  if (found == passing_.end()) return;
+  const Passing passing = found->second;
+  passing_.erase(found);
+  if (whole) {
+    ++passing.figures->completed;
+    return passing.recipient->End(passing.ticket);
+  }
+  ++passing.figures->failed;
+  passing.recipient->Break(passing.ticket);
+}
+
 void Gatekeeper::SenderGone(planner::EnvelopeNumber number) {
+  if (const auto passing = passing_.find(number); passing != passing_.end()) {
+    const int attempt = passing->second.attempt;
+    passing_.erase(passing);
+    return pool_.Abandon({number, attempt});
+  }
   const auto found = held_.find(number);
   if (found == held_.end()) return;
   found->second.recipient = nullptr;
@@ -257,8 +314,10 @@
   const auto found = held_.find(number);
   if (found == held_.end()) return std::nullopt;
   std::optional<Held> out = std::move(found->second);
-  held_bytes_ -= out->letter.size();
   held_.erase(found);
+  flow::ByteBudget& budget = Budget(out->letter);
+  budget.Give(out->letter.size());
+  budget.Grant();
   return out;
 }
 
@@ -266,9 +325,10 @@
   const auto found = held_.find(step.envelope);
   if (found == held_.end()) return;
   message_.clear();
-  found->second.letter.Render(std::max(milliseconds(1), std::chrono::floor<milliseconds>(step.timeout)),
-                              message_);
-  pool_.Deliver({step.envelope, step.attempt}, step.next_hop, message_, step.timeout);
+  const resp::Letter& letter = found->second.letter;
+  letter.RenderHead(std::max(milliseconds(1), std::chrono::floor<milliseconds>(step.timeout)), message_);
+  pool_.Deliver({step.envelope, step.attempt}, step.next_hop,
+                {.head = message_, .tail = letter.tail(), .text = letter.text()}, step.timeout);
 }
 
 void Gatekeeper::Do(planner::Defer& step) {
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "config/config.h"
+#include "flow/byte_budget.h"
 #include "net/counter_client.h"
 #include "net/discovery_watch.h"
 #include "net/next_hop_pool.h"
@@ -54,14 +55,26 @@
     ops::ClassFigures* figures = nullptr;  // of its class
   };
 
+  struct Passing {  // an envelope whose final answer has begun and comes in pieces
+    Recipient* recipient = nullptr;
+    Recipient::Ticket ticket = 0;
+    int attempt = 0;
+    ops::ClassFigures* figures = nullptr;
+  };
+
   // Intake
   bool Ready() override;
   planner::EnvelopeNumber Take(const Envelope& envelope, resp::Letter letter, Recipient& recipient,
                                Recipient::Ticket ticket) override;
   void SenderGone(planner::EnvelopeNumber number) override;
+  void RoomAgain(planner::EnvelopeNumber number) override;
   // AttemptListener
   void AttemptEnded(const planner::AttemptReport& report, std::string_view value) override;
   void ProbeEnded(const planner::ProbeReport& report) override;
+  Value ValueBegins(const planner::AttemptReport& report) override;
+  std::size_t ValueRoom(planner::EnvelopeNumber envelope) override;
+  void PassValue(planner::EnvelopeNumber envelope, evbuffer* from, std::size_t size) override;
+  void ValueEnded(planner::EnvelopeNumber envelope, bool whole) override;
   void AttemptWritten() override { ++figures_.upstream_requests; }
   // CounterListener
   void CounterAnswered(planner::CounterReport report) override;
@@ -77,6 +90,7 @@
   void RunQueued();
   void ArmTick();
   void Tick();
+  flow::ByteBudget& Budget(const resp::Letter& letter);
   std::optional<Held> Release(planner::EnvelopeNumber number);
   void Do(planner::Deliver& step);
   void Do(planner::Defer& step);
@@ -102,9 +116,10 @@
   operator_file::OperatorFile operators_;
   planner::Planner planner_;
   std::size_t max_open_;
-  std::size_t max_held_bytes_;
+  flow::ByteBudget letters_;  // commands held, but for the large ones
+  flow::ByteBudget bodies_;   // large commands, in reading and held
   std::unordered_map<planner::EnvelopeNumber, Held> held_;
-  std::size_t held_bytes_ = 0;
+  std::unordered_map<planner::EnvelopeNumber, Passing> passing_;
   bool busy_ = false;                         // steps are being carried out
   std::deque<planner::ReportValue> reports_;  // what came back meanwhile
   std::optional<Clock::time_point> armed_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -91,6 +91,10 @@
   return evbuffer_get_length(bufferevent_get_input(connection));
 }
 
+void SetKernelBytes(bufferevent* connection, int which, int size) {
+  setsockopt(bufferevent_getfd(connection), SOL_SOCKET, which, &size, sizeof size);
+}
+
 bool HasNews(bufferevent* connection) {
   char byte = 0;
   const ssize_t size = recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -67,6 +67,8 @@
 std::string_view PeekFirst(bufferevent* connection);
 std::size_t ReadSize(bufferevent* connection);
 void Consume(bufferevent* connection, std::size_t size);
+// Bounds what the kernel holds of this connection's bytes: `which` is SO_SNDBUF or SO_RCVBUF.
+void SetKernelBytes(bufferevent* connection, int which, int size);
 // Whether bytes, an end or an error wait at the socket that the loop has not seen yet.
 bool HasNews(bufferevent* connection);
 
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -13,7 +13,16 @@
 using std::chrono::microseconds;
 
 constexpr std::chrono::milliseconds kUpkeep{1'000};
-constexpr std::chrono::milliseconds kAnswerStall{50};  // within an answer: ten times the way there and back
+constexpr std::chrono::milliseconds kAnswerStall{
+    50};                  // within an answer: ten times the way there and back ...
+constexpr int kGaps = 3;  // ... or so many of the longest gap that went on ...
+constexpr std::chrono::milliseconds kStallMost{1'000};  // ... but no longer
+constexpr double kGapFades = 0.999;                     // of the longest gap: what is left with each answer
+constexpr std::chrono::milliseconds kValueStall{
+    3'000};                                   // within a large value: the client could not wait longer
+constexpr std::size_t kReadHigh = 72 * 1024;  // bytes read ahead of what is parsed or passed on
+constexpr int kKernelBytes = 64 * 1024;       // of the kernel's, for a connection that carries a large value
+constexpr std::size_t kCopied = 16 * 1024;    // a longer tail of a message is written by reference
 constexpr double kIdleShare = 0.7;  // of the idle limit: a write at the limit itself would be a reset
 
 }  // namespace
@@ -37,34 +46,39 @@
         [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
         [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); }, this);
     if (!connection_) return false;
+    bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadHigh);
     bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
     return true;
   }
 
   // Without a key it is a probe.
-  void Begin(const AttemptKey* key, std::string_view message, microseconds timeout, Clock::time_point begun) {
+  void Begin(const AttemptKey* key, const Message& message, microseconds timeout, Clock::time_point begun) {
     is_probe_ = key == nullptr;
     key_ = key == nullptr ? AttemptKey{} : *key;
     busy_ = true;
-    stalled_ = false;
+    stalled_ = told_ = false;
     need_ = 0;
     begun_ = begun;
     ends_ = begun + timeout;
     written_ = is_probe_;
-    if (up_) {
-      Write(connection_.get(), message);
-      Written();
-      timer_.Arm(timeout);
-      return;
-    }
-    bufferevent_write(connection_.get(), message.data(), message.size());  // leaves once it is up
-    timer_.Arm(std::min(timeout, pool_.limits_.dial_timeout));
+    Send(message);
+    Written();
+    timer_.Arm(up_ ? timeout : std::min(timeout, pool_.limits_.dial_timeout));
   }
 
   // Ends what is under way by closing the connection. Nothing of it may be touched afterwards.
   void Close(AttemptResult result, const planner::Load& load = {}) {
     const std::unique_ptr<Connection> self = pool_.Remove(*this);
-    if (busy_) Report(result, {}, load);
+    if (busy_ && !told_) return Report(result, {}, load);
+    if (busy_) pool_.attempts_.erase(key_);
+    if (value_left_ > 0) pool_.listener_.ValueEnded(key_.envelope, /*whole=*/false);
+  }
+
+  // There is room again for the value that is passed on.
+  void Resume() {
+    if (value_left_ == 0 || !std::exchange(paused_, false)) return;
+    bufferevent_enable(connection_.get(), EV_READ);
+    Pump();
   }
 
   // A next hop that drains or is gone may get nothing new: what has not been written to it goes elsewhere.
@@ -81,6 +95,25 @@
   Clock::time_point idle_since() const { return idle_since_; }
 
  private:
+  // Leaves once it is up. A long tail is not copied: it is held until it has left.
+  void Send(const Message& message) {
+    const bool copied = message.tail.size() <= kCopied;
+    std::string& whole = pool_.message_;
+    whole.assign(message.head);
+    if (copied) whole += message.tail;
+    if (up_) {
+      Write(connection_.get(), whole);
+    } else {
+      bufferevent_write(connection_.get(), whole.data(), whole.size());
+    }
+    if (copied) return;
+    using Text = std::shared_ptr<const std::string>;
+    evbuffer_add_reference(
+        bufferevent_get_output(connection_.get()), message.tail.data(), message.tail.size(),
+        [](const void*, std::size_t, void* text) { delete static_cast<Text*>(text); },
+        new Text(message.text));
+  }
+
   void Event(short what) {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
       up_ = true;
@@ -88,6 +121,12 @@
       return;
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+    if (told_) {
+      // What has come of a value is whole already, or never will be.
+      ended_ = true;
+      if (value_left_ == 0 || ReadSize(connection_.get()) < value_left_) Close(AttemptResult::kReset);
+      return;
+    }
     // Before the last byte has left, the next hop can't have begun; after that it may have.
     const bool never_ran = !up_ || Unwritten(connection_.get()) > 0;
     // What broke one connection has most likely broken those that stand idle beside it: each would cost an
@@ -104,27 +143,33 @@
 
   void TimedOut() {
     if (!busy_) return;
-    if (stalled_) return Malformed();
+    if (stalled_ || told_) return Malformed();
     const bool never_ran = !up_ || Unwritten(connection_.get()) > 0;
     Close(never_ran ? AttemptResult::kCouldNotConnect : AttemptResult::kTimedOut);
   }
 
   void Read() {
     if (!busy_) return Close(AttemptResult::kReset);  // nobody asked
+    if (value_left_ > 0) return Pump();
+    if (told_) return ReadRest();
+    const auto now = Clock::now();
+    if (stalled_) pool_.NoteGap(std::chrono::duration_cast<microseconds>(now - heard_));
+    heard_ = now;
     resp::Reply reply;
     for (;;) {
       const std::size_t size = ReadSize(connection_.get());
-      if (size < std::max<std::size_t>(1, need_)) return;
+      if (size < std::max<std::size_t>(1, need_)) return ArmStall();
       const std::string_view bytes =
           need_ > 1 ? Peek(connection_.get(), need_) : PeekFirst(connection_.get());
       const resp::Progress progress = resp::ParseReply(bytes, reply);
       if (progress == resp::Progress::kPartial) {
+        const bool first = need_ == 0;
         need_ = reply.need;
-        // An answer is written at once: one that stops halfway does not go on, and waiting for the attempt's
-        // own time-out would leave no time for another.
         stalled_ = true;
-        timer_.Arm(std::min(std::chrono::duration_cast<microseconds>(ends_ - Clock::now()),
-                            microseconds(kAnswerStall)));
+        resp::LargeValue large;
+        if (!is_probe_ && resp::BeginsLarge(bytes, large) && BeginValue(large)) return;
+        if (need_ > kReadHigh) bufferevent_setwatermark(connection_.get(), EV_READ, 0, need_);
+        if (first) ArmStall();
         continue;
       }
       if (progress == resp::Progress::kBroken) return Malformed();
@@ -133,6 +178,105 @@
     Take(reply);
   }
 
+  // An answer that stands still halfway does not go on, and waiting for the attempt's own time-out would
+  // leave no time for another. Counted from its last byte, and by what gaps were seen to end: some next hops
+  // write in pieces.
+  void ArmStall() {
+    if (!stalled_) return;
+    const auto left = std::chrono::duration_cast<microseconds>(ends_ - Clock::now());
+    const bool large = need_ > kReadHigh;
+    timer_.Arm(std::min(left, large ? microseconds(kValueStall) : pool_.Stall()));
+  }
+
+  // A large value is passed on as it comes; with its header the attempt has ended. Returns whether that is
+  // so, or this connection is gone; else the value is to be read whole.
+  bool BeginValue(const resp::LargeValue& large) {
+    const auto elapsed = std::chrono::duration_cast<microseconds>(Clock::now() - begun_);
+    const auto wanted = pool_.listener_.ValueBegins({.envelope = key_.envelope,
+                                                     .attempt = key_.attempt,
+                                                     .next_hop = hop_.name,
+                                                     .result = AttemptResult::kServed,
+                                                     .elapsed = elapsed});
+    if (wanted == AttemptListener::Value::kWhole) return false;
+    if (wanted == AttemptListener::Value::kNone) {
+      Close(AttemptResult::kAbandoned);
+      return true;
+    }
+    SetKernelBytes(connection_.get(), SO_RCVBUF, kKernelBytes);
+    Consume(connection_.get(), large.at);
+    value_left_ = large.size;
+    rest_ = large.rest;
+    told_ = true;
+    Pump();
+    return true;
+  }
+
+  // Hands on what has come, as far as it is taken.
+  void Pump() {
+    while (value_left_ > 0) {
+      const std::size_t have = ReadSize(connection_.get());
+      // Its last line end goes out with the check that it is one: a value of another length can be told.
+      const bool whole = have >= value_left_;
+      if (whole && !EndsRight()) return Malformed();
+      const std::size_t ready = whole ? value_left_ : std::min(have, value_left_ - 2);
+      const std::size_t room = pool_.listener_.ValueRoom(key_.envelope);
+      std::size_t size = std::min(ready, room);
+      if (size < value_left_ && size > value_left_ - 2) size = value_left_ - 2;
+      if (size == 0) {
+        if (ready == 0) return timer_.Arm(kValueStall);
+        // The client takes its time: the next hop is not read from meanwhile, and no time runs for it.
+        paused_ = true;
+        bufferevent_disable(connection_.get(), EV_READ);
+        return timer_.Disarm();
+      }
+      value_left_ -= size;
+      pool_.listener_.PassValue(key_.envelope, bufferevent_get_input(connection_.get()), size);
+    }
+    pool_.attempts_.erase(key_);
+    pool_.listener_.ValueEnded(key_.envelope, /*whole=*/true);
+    need_ = 0;
+    if (ended_) return Close(AttemptResult::kReset);
+    timer_.Arm(kAnswerStall);
+    ReadRest();
+  }
+
+  bool EndsRight() const {
+    evbuffer* input = bufferevent_get_input(connection_.get());
+    evbuffer_ptr at;
+    char end[2] = {};
+    return evbuffer_ptr_set(input, &at, value_left_ - 2, EVBUFFER_PTR_SET) == 0 &&
+           evbuffer_copyout_from(input, &at, end, sizeof end) == sizeof end && end[0] == '\r' &&
+           end[1] == '\n';
+  }
+
+  // What an answer holds behind a value that was passed on: read so that the connection can be used again.
+  void ReadRest() {
+    resp::Reply reply;
+    for (;;) {
+      const std::size_t size = ReadSize(connection_.get());
+      if (size < need_) return;
+      const std::string_view bytes =
+          need_ > 1 ? Peek(connection_.get(), need_) : PeekFirst(connection_.get());
+      const resp::Progress progress = resp::ParseParts(bytes, rest_, reply);
+      if (progress == resp::Progress::kBroken) return Malformed();
+      if (progress == resp::Progress::kWhole) break;
+      need_ = reply.need;
+    }
+    timer_.Disarm();
+    Free(reply.size);
+  }
+
+  // The answer has been read: the connection can take another command.
+  void Free(std::size_t size) {
+    Consume(connection_.get(), size);
+    if (need_ > kReadHigh) bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadHigh);
+    busy_ = false;
+    idle_since_ = Clock::now();
+    if (ReadSize(connection_.get()) > 0 || hop_.state != planner::HopState::kReady) {
+      Close(AttemptResult::kReset);
+    }
+  }
+
   // What came has run, and the connection can't be used again.
   void Malformed() {
     pool_.malformed_("next hop's answer is malformed", hop_.name);
@@ -168,15 +312,11 @@
     timer_.Disarm();
     // `value` is a slice of what was read: it is consumed, and the connection free again, after the report.
     Report(result, value, load);
-    Consume(connection_.get(), reply.size);
-    busy_ = false;
-    idle_since_ = Clock::now();
-    if (ReadSize(connection_.get()) > 0 || hop_.state != planner::HopState::kReady) {
-      Close(AttemptResult::kReset);
-    }
+    Free(reply.size);
   }
 
   void Report(AttemptResult result, std::string_view value, const planner::Load& load) {
+    told_ = true;
     const auto elapsed = std::chrono::duration_cast<microseconds>(Clock::now() - begun_);
     if (is_probe_) {
       return pool_.listener_.ProbeEnded(
@@ -201,9 +341,15 @@
   bool is_probe_ = false;
   bool written_ = false;  // what is under way, to its last byte
   bool stalled_ = false;  // an answer has begun and not ended
+  bool told_ = false;     // how the attempt ended; what is still under way is its value or what follows that
+  bool paused_ = false;   // the client has no room for the value
+  bool ended_ = false;    // the next hop has closed; all of the value has come
   AttemptKey key_;
   std::size_t need_ = 0;
+  std::size_t value_left_ = 0;  // bytes of a large value that are still to be passed on
+  std::size_t rest_ = 0;        // parts of the answer behind it
   Clock::time_point begun_;
+  Clock::time_point heard_;
   Clock::time_point ends_;
   Clock::time_point idle_since_;
 };
@@ -248,7 +394,7 @@
   }
 }
 
-void NextHopPool::Deliver(const AttemptKey& key, const std::string& next_hop, std::string_view message,
+void NextHopPool::Deliver(const AttemptKey& key, const std::string& next_hop, const Message& message,
                           microseconds timeout) {
   const auto found = hops_.find(next_hop);
   if (found != hops_.end()) return Start(*found->second, &key, message, timeout);
@@ -263,11 +409,11 @@
   std::string message;
   resp::AppendCommand({"INFO", "load"}, message);
   const auto found = hops_.find(next_hop);
-  if (found != hops_.end()) return Start(*found->second, nullptr, message, limits_.dial_timeout);
+  if (found != hops_.end()) return Start(*found->second, nullptr, {.head = message}, limits_.dial_timeout);
   listener_.ProbeEnded({.next_hop = next_hop, .result = AttemptResult::kCouldNotConnect});
 }
 
-void NextHopPool::Start(Hop& hop, const AttemptKey* key, std::string_view message, microseconds timeout) {
+void NextHopPool::Start(Hop& hop, const AttemptKey* key, const Message& message, microseconds timeout) {
   const auto begun = Clock::now();
   Connection* connection = hop.state == planner::HopState::kReady ? FindIdle(hop) : nullptr;
   if (connection == nullptr && hop.state == planner::HopState::kReady) connection = Open(hop);
@@ -290,6 +436,19 @@
   if (found != attempts_.end()) found->second->Close(AttemptResult::kAbandoned);
 }
 
+void NextHopPool::Resume(const AttemptKey& key) {
+  const auto found = attempts_.find(key);
+  if (found != attempts_.end()) found->second->Resume();
+}
+
+void NextHopPool::NoteGap(microseconds gap) {
+  longest_gap_ = std::max(gap, std::chrono::duration_cast<microseconds>(longest_gap_ * kGapFades));
+}
+
+microseconds NextHopPool::Stall() const {
+  return std::clamp<microseconds>(kGaps * longest_gap_, kAnswerStall, kStallMost);
+}
+
 NextHopPool::Connection* NextHopPool::FindIdle(Hop& hop) {
   for (;;) {
     Connection* best = nullptr;  // the last used: the others may reach their age
--- a/src/net/next_hop_pool.h
+++ b/src/net/next_hop_pool.h
@@ -31,6 +31,15 @@
   // `value` is the whole bulk string of a served attempt; it holds during the call.
   virtual void AttemptEnded(const planner::AttemptReport& report, std::string_view value) = 0;
   virtual void ProbeEnded(const planner::ProbeReport& report) = 0;
+  // A served attempt's value is large and has begun to come. What is wanted with it?
+  enum class Value { kWhole, kPass, kNone };
+  // kPass: the attempt has ended with this, and its value is handed on in pieces until ValueEnded.
+  virtual Value ValueBegins(const planner::AttemptReport& report) = 0;
+  // How many bytes of it can be taken now; where none, NextHopPool::Resume tells when there is room again.
+  virtual std::size_t ValueRoom(planner::EnvelopeNumber envelope) = 0;
+  // Takes `size` bytes from the front of `from`.
+  virtual void PassValue(planner::EnvelopeNumber envelope, evbuffer* from, std::size_t size) = 0;
+  virtual void ValueEnded(planner::EnvelopeNumber envelope, bool whole) = 0;
   // The last byte of an attempt has gone to the next hop's socket.
   virtual void AttemptWritten() = 0;
 
@@ -54,9 +63,18 @@
   // Takes discovery's word: addresses, restarts, and which next hops may get nothing new.
   void Apply(const config::Roster& roster);
 
-  // Writes `message` to a connection to the next hop; the attempt ends within `timeout`.
-  void Deliver(const AttemptKey& key, const std::string& next_hop, std::string_view message,
+  // What is written for an attempt: `head`, then `tail`, which `text` holds.
+  struct Message {
+    std::string_view head;
+    std::string_view tail{};
+    std::shared_ptr<const std::string> text{};
+  };
+  // Writes `message` to a connection to the next hop; the attempt ends within `timeout`, or with the last
+  // byte of a large value that has begun by then.
+  void Deliver(const AttemptKey& key, const std::string& next_hop, const Message& message,
                std::chrono::microseconds timeout);
+  // There is room again for the attempt's value.
+  void Resume(const AttemptKey& key);
   // Gives up an attempt by closing its connection.
   void Abandon(const AttemptKey& key);
   // Asks a next hop for its load report.
@@ -73,8 +91,10 @@
 
   Connection* Open(Hop& hop);
   Connection* FindIdle(Hop& hop);
-  void Start(Hop& hop, const AttemptKey* key, std::string_view message, std::chrono::microseconds timeout);
+  void Start(Hop& hop, const AttemptKey* key, const Message& message, std::chrono::microseconds timeout);
   void CloseIdle(Hop& hop, Clock::time_point unused_since);
+  void NoteGap(std::chrono::microseconds gap);
+  std::chrono::microseconds Stall() const;
   void Upkeep();
   bool EvictIdle();
   std::unique_ptr<Connection> Remove(Connection& connection);
@@ -85,7 +105,9 @@
   AttemptListener& listener_;
   std::unordered_map<std::string, std::unique_ptr<Hop>> hops_;
   std::unordered_map<AttemptKey, Connection*, KeyHash> attempts_;
-  std::size_t open_ = 0;  // connections
+  std::size_t open_ = 0;                      // connections
+  std::chrono::microseconds longest_gap_{0};  // in small answers that went on, fading
+  std::string message_;                       // as it is written
   RareLog malformed_, not_dialled_;
   Timer upkeep_;
 };
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -21,7 +21,12 @@
 constexpr std::size_t kReadAhead = 80 * 1024;         // bytes read before they are handled: one command fits
 constexpr std::chrono::milliseconds kLeaveCheck{20};  // between two looks at who is to be closed now
 constexpr std::chrono::milliseconds kUpkeep{250};     // between two looks at what stands still
-constexpr std::chrono::milliseconds kSilence{2'000};  // for a first command, the rest of one, or the next
+constexpr std::chrono::milliseconds kSilence{2'000};  // for a first command, or the next where many are open
+constexpr std::chrono::milliseconds kHead{2'300};     // for a command before its body: a client may take 2 s
+constexpr std::chrono::milliseconds kBodySilence{2'300};  // within a body, without a byte
+constexpr std::chrono::seconds kBody{30};                 // for a body, however its bytes come
+constexpr std::chrono::seconds kUntaken{10};              // without a byte of its answers taken by a client
+constexpr int kKernelBytes = 64 * 1024;  // of the kernel's, for a connection that is sent a large value
 constexpr std::chrono::milliseconds kLeastIdle{300};  // of one that is closed to make room for others
 constexpr std::size_t kMany = 4;                      // part of the connections from which on they are many
 constexpr std::chrono::milliseconds kFirstWord{
@@ -47,7 +52,7 @@
 
 }  // namespace
 
-class SenderSide::Connection final : public Recipient {
+class SenderSide::Connection final : public Recipient, private flow::ByteBudget::Waiter {
  public:
   Connection(SenderSide& side, evutil_socket_t fd)
       : side_(side), used_(Clock::now()), linger_(side.base_, [this] { side_.Remove(this); }) {
@@ -69,6 +74,11 @@
     bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
   }
 
+  ~Connection() {
+    side_.bodies_.Leave(*this);
+    Unreserve();
+  }
+
   // Tells of every envelope that is still owed an answer.
   void Abandon() {
     std::deque<Slot> slots = std::move(slots_);
@@ -94,11 +104,12 @@
   // connections that hold descriptors and buffers for nothing: clients may hold only so many, and those that
   // ask once and stay would keep all others out.
   void Look(Clock::time_point now, bool many, Clock::time_point unused_since) {
+    if (Untaken(now)) return side_.Remove(this);
     if (state_ == State::kClosing && !slots_.empty() && protocol_error_ && now - used_ >= kOwed) {
       return GiveUpOwed();
     }
     if (state_ != State::kOpen || !slots_.empty()) return;
-    if (partial_since_ && now - *partial_since_ >= kSilence) {
+    if (Overdue(now)) {
       ProtocolError("command not finished in time");
       CloseBetweenRequests();
     } else if ((((!has_asked_ || many) && now - used_ >= kSilence) ||
@@ -133,6 +144,41 @@
     Answer(ticket, "-BUSY " + std::to_string(retry_after.count()) + "\r\n");
   }
   void Fail(Ticket ticket, planner::FailReason reason) override { Answer(ticket, Words(reason)); }
+  void Begin(Ticket ticket, std::size_t window) override {
+    if (!Owes(ticket)) return;
+    slots_[ticket - base_ticket_].in_pieces = true;
+    window_ = window;
+    SetKernelBytes(connection_.get(), SO_SNDBUF, kKernelBytes);
+    bufferevent_setwatermark(connection_.get(), EV_WRITE, window / 2, 0);
+  }
+  std::size_t Room(Ticket ticket) override {
+    if (ticket != base_ticket_ || !Owes(ticket)) return 0;
+    return window_ - std::min(window_, Unwritten(connection_.get()));
+  }
+  void Pass(Ticket ticket, evbuffer* from, std::size_t size) override {
+    if (ticket == base_ticket_ && Owes(ticket)) {
+      evbuffer_remove_buffer(from, bufferevent_get_output(connection_.get()), size);
+    } else {
+      evbuffer_drain(from, size);
+    }
+  }
+  void End(Ticket ticket) override {
+    if (ticket != base_ticket_ || !Owes(ticket)) return;
+    side_.open_ids_.erase(slots_.front().id);
+    bufferevent_setwatermark(connection_.get(), EV_WRITE, 0, 0);
+    Pop();
+    Flush();
+  }
+  void Break(Ticket ticket) override {
+    if (!Owes(ticket)) return;
+    side_.open_ids_.erase(slots_[ticket - base_ticket_].id);
+    slots_[ticket - base_ticket_].number.reset();
+    // The client is to see that the value is not whole, so nothing may follow it. Not from here: the caller
+    // may be one of our own calls.
+    broken_ = true;
+    bufferevent_disable(connection_.get(), EV_READ | EV_WRITE);
+    linger_.Arm(std::chrono::microseconds(0));
+  }
 
  private:
   enum class State {
@@ -144,12 +190,14 @@
     std::optional<planner::EnvelopeNumber> number;
     std::size_t id = 0;  // its hash
     bool ready = false;
-    std::string answer;  // while the answers before it are owed
+    bool in_pieces = false;  // its value comes in pieces
+    std::string answer;      // while the answers before it are owed
   };
 
   void Read() {
     if (state_ == State::kLingering) return Consume(connection_.get(), ReadSize(connection_.get()));
-    if (handling_) return;
+    if (handling_ || broken_) return;
+    came_ = Clock::now();
     handling_ = true;
     // Each command is a slice of what was read; it is consumed once it has been handled.
     while (state_ == State::kOpen && !Full()) {
@@ -161,6 +209,7 @@
       if (progress == resp::Progress::kPartial) {
         need_ = command_.need;
         if (!partial_since_) partial_since_ = Clock::now();
+        if (need_ > kReadAhead && reserved_ == 0 && !Reserve()) break;
         continue;
       }
       need_ = 0;
@@ -168,8 +217,14 @@
         ProtocolError(command_.error);
         break;
       }
+      // What was reserved for reading it is what it is held under from here on, if it is.
+      if (reserved_ > 0) side_.bodies_.Give(std::exchange(reserved_, 0));
       Handle();
       Consume(connection_.get(), command_.size);
+      if (command_.size > kReadAhead) {
+        bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadAhead);
+        side_.bodies_.Grant();
+      }
       used_ = Clock::now();
       partial_since_.reset();
     }
@@ -178,12 +233,59 @@
     CloseBetweenRequests();
   }
 
+  // A large command is read once its bytes are reserved, and not before. Returns whether they are.
+  bool Reserve() {
+    wants_ = need_;
+    waits_ = !side_.bodies_.Ask(*this, wants_);
+    if (!waits_) Reserved();
+    if (waits_) bufferevent_disable(connection_.get(), EV_READ);
+    return !waits_;
+  }
+  void Reserved() {
+    reserved_ = wants_;
+    bufferevent_setwatermark(connection_.get(), EV_READ, 0, std::max(reserved_, kReadAhead));
+  }
+  void Granted() override {
+    waits_ = false;
+    came_ = Clock::now();
+    Reserved();
+    if (state_ == State::kOpen && !paused_) bufferevent_enable(connection_.get(), EV_READ);
+  }
+  void Unreserve() {
+    if (reserved_ == 0) return;
+    side_.bodies_.Give(std::exchange(reserved_, 0));
+    side_.bodies_.Grant();
+  }
+
+  // A command that has begun to come and does not end in time: a head by the clock, a body by its progress.
+  // Waiting for room of ours is no fault of the client's.
+  bool Overdue(Clock::time_point now) const {
+    if (!partial_since_ || waits_) return false;
+    if (command_.count < resp::kBodyAt) return now - *partial_since_ >= kHead;
+    return now - came_ >= kBodySilence || now - *partial_since_ >= kBody;
+  }
+
+  // A client that takes nothing of what it is sent.
+  bool Untaken(Clock::time_point now) {
+    const std::size_t unwritten = Unwritten(connection_.get());
+    if (unwritten == 0 || unwritten != unwritten_) untaken_since_ = now;
+    unwritten_ = unwritten;
+    return unwritten > 0 && now - untaken_since_ >= kUntaken;
+  }
+
+  bool Owes(Ticket ticket) const {
+    return !broken_ && ticket >= base_ticket_ && ticket - base_ticket_ < slots_.size() &&
+           !slots_[ticket - base_ticket_].ready;
+  }
+
   // The framing is lost: says so behind what is owed, reads nothing more, and closes.
   void ProtocolError(const std::string& what) {
     Say("-ERR Protocol error: " + what + "\r\n");
     protocol_error_ = true;
     state_ = State::kClosing;
     used_ = Clock::now();
+    side_.bodies_.Leave(*this);
+    Unreserve();
   }
 
   // A client that broke the framing learns of it soon, also where answers before the error take their time:
@@ -232,9 +334,8 @@
   }
 
   void Answer(Ticket ticket, std::string_view answer) {
-    if (ticket < base_ticket_ || ticket - base_ticket_ >= slots_.size()) return;
+    if (!Owes(ticket)) return;
     Slot& slot = slots_[ticket - base_ticket_];
-    if (slot.ready) return;
     slot.ready = true;
     if (slot.id != 0) side_.open_ids_.erase(slot.id);
     if (ticket != base_ticket_) {
@@ -244,11 +345,17 @@
     }
     Write(connection_.get(), answer);
     Pop();
+    Flush();
+  }
+
+  // Writes the answers that waited for the one before them; the next may be one that comes in pieces.
+  void Flush() {
     while (!slots_.empty() && slots_.front().ready) {
       held_ -= slots_.front().answer.size();
       Write(connection_.get(), slots_.front().answer);
       Pop();
     }
+    AskForMore();
     if (handling_) return;
     // There may be room again. Not read from here: the answer is a step of the planner's, and what is read
     // would go to the planner in the midst of its steps.
@@ -259,6 +366,11 @@
     CloseBetweenRequests();
   }
 
+  void AskForMore() {
+    if (slots_.empty() || !slots_.front().in_pieces || !slots_.front().number) return;
+    side_.intake_.RoomAgain(*slots_.front().number);
+  }
+
   void Pop() {
     slots_.pop_front();
     ++base_ticket_;
@@ -275,19 +387,21 @@
     paused_ = pause;
     if (pause) {
       bufferevent_disable(connection_.get(), EV_READ);
-    } else {
+    } else if (!waits_) {
       bufferevent_enable(connection_.get(), EV_READ);
     }
   }
 
   void Written() {
+    if (broken_) return;
+    AskForMore();
     if (state_ == State::kOpen && paused_) return Read();
     CloseBetweenRequests();
   }
 
   void CloseBetweenRequests() {
     const bool closes = state_ == State::kClosing || (state_ == State::kOpen && Leaves());
-    if (!closes || !slots_.empty() || Unwritten(connection_.get()) > 0) return;
+    if (!closes || broken_ || !slots_.empty() || Unwritten(connection_.get()) > 0) return;
     // Closed with bytes unread, the socket would be reset and the last answers with it: our side is shut, and
     // the rest is read until the client closes too. Seen as answers lost at restarts.
     state_ = State::kLingering;
@@ -313,6 +427,14 @@
   State state_ = State::kOpen;
   bool handling_ = false;
   bool paused_ = false;
+  bool broken_ = false;        // a value broke off: nothing is written behind it
+  bool waits_ = false;         // in line for the bytes of a large command
+  std::size_t wants_ = 0;      // of them
+  std::size_t reserved_ = 0;   // of them, while it is read
+  std::size_t window_ = 0;     // of a value in pieces: bytes that may wait to be taken
+  std::size_t unwritten_ = 0;  // at the last look
+  Clock::time_point untaken_since_;
+  Clock::time_point came_;  // the last bytes
   std::size_t need_ = 0;
   std::size_t held_ = 0;  // bytes of answers that wait for their turn
   resp::Command command_;
@@ -321,10 +443,12 @@
 };
 
 SenderSide::SenderSide(event_base* base, const config::Address& listen, std::optional<int> inherited,
-                       resp::Vocabulary vocabulary, std::size_t max_connections, Intake& intake)
+                       resp::Vocabulary vocabulary, std::size_t max_connections, flow::ByteBudget& bodies,
+                       Intake& intake)
     : base_(base),
       vocabulary_(std::move(vocabulary)),
       max_connections_(max_connections),
+      bodies_(bodies),
       intake_(intake),
       inherited_(inherited.has_value()),
       accept_again_(base,
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "envelope.h"
+#include "flow/byte_budget.h"
 #include "net/log.h"
 #include "net/loop.h"
 #include "ops/lifecycle.h"
@@ -32,6 +33,14 @@
   virtual void Serve(Ticket ticket, std::string_view value) = 0;
   virtual void Defer(Ticket ticket, std::chrono::milliseconds retry_after) = 0;  // 0: no advice
   virtual void Fail(Ticket ticket, planner::FailReason reason) = 0;
+  // A value that comes in pieces, in place of Serve. Room: how many bytes are taken now, none before the
+  // answers ahead are out; where none, Intake::RoomAgain follows. Pass moves `size` bytes, no more than that,
+  // from the front of `from`. Then End, or Break: the rest never comes, and the client is to see that.
+  virtual void Begin(Ticket ticket, std::size_t window) = 0;
+  virtual std::size_t Room(Ticket ticket) = 0;
+  virtual void Pass(Ticket ticket, evbuffer* from, std::size_t size) = 0;
+  virtual void End(Ticket ticket) = 0;
+  virtual void Break(Ticket ticket) = 0;
 
  protected:
   ~Recipient() = default;
@@ -47,6 +56,8 @@
                                        Recipient::Ticket ticket) = 0;
   // The sender has gone: nobody waits for the answer any more, and the recipient is not called again.
   virtual void SenderGone(planner::EnvelopeNumber number) = 0;
+  // The recipient has room again for the envelope's value.
+  virtual void RoomAgain(planner::EnvelopeNumber number) = 0;
 
  protected:
   ~Intake() = default;
@@ -58,7 +69,8 @@
   // processes: that one is accepted from once Accept is called, and is never shut down. Throws
   // std::runtime_error where that can't be.
   SenderSide(event_base* base, const config::Address& listen, std::optional<int> inherited,
-             resp::Vocabulary vocabulary, std::size_t max_connections, Intake& intake);
+             resp::Vocabulary vocabulary, std::size_t max_connections, flow::ByteBudget& bodies,
+             Intake& intake);
   ~SenderSide();
   SenderSide(const SenderSide&) = delete;
   SenderSide& operator=(const SenderSide&) = delete;
@@ -94,6 +106,7 @@
   event_base* base_;
   resp::Vocabulary vocabulary_;
   std::size_t max_connections_;
+  flow::ByteBudget& bodies_;  // what large commands are read under
   Intake& intake_;
   bool inherited_ = false;
   bool draining_ = false;
--- a/src/resp/frame.cpp
+++ b/src/resp/frame.cpp
@@ -71,7 +71,7 @@
 }
 
 // One part of an array: a bulk string, null, or a simple value.
-Progress ParsePart(Cursor& cursor, Reply::Part& part) {
+Progress ParsePart(Cursor& cursor, std::size_t most, Reply::Part& part) {
   std::string_view line;
   Progress progress = cursor.Header(":+-$", line);
   if (progress != Progress::kWhole) return progress;
@@ -84,7 +84,7 @@
     part.null = true;
     return Progress::kWhole;
   }
-  if (!length || *length < 0 || *length > static_cast<long>(kMaxValue)) return Progress::kBroken;
+  if (!length || *length < 0 || *length > static_cast<long>(most)) return Progress::kBroken;
   return cursor.Value(static_cast<std::size_t>(*length), part.text);
 }
 
@@ -117,8 +117,11 @@
     if (progress == Progress::kWhole) {
       const std::optional<long> size = ToLength(line.substr(1));
       if (!size || *size < 0) return Broken(out, "invalid bulk length");
-      if (*size > static_cast<long>(kMaxValue)) return Broken(out, "argument too long");
-      if (cursor.at() + static_cast<std::size_t>(*size) > kMaxCommand) return Broken(out, "command too long");
+      const bool is_body = out.count == kBodyAt;
+      if (*size > static_cast<long>(is_body ? kMaxValue : kMaxWhole)) return Broken(out, "argument too long");
+      if (cursor.at() + (is_body ? 0 : static_cast<std::size_t>(*size)) > kMaxHead) {
+        return Broken(out, "command too long");
+      }
       progress = cursor.Value(static_cast<std::size_t>(*size), out.parts[out.count]);
     } else if (progress == Progress::kBroken) {
       return Broken(out, "invalid bulk length");
@@ -165,7 +168,7 @@
       const std::optional<long> length = ToLength(out.text);
       out.kind = length == -1 ? Reply::Kind::kNull : Reply::Kind::kBulk;
       if (length == -1) return finish(Progress::kWhole);
-      if (!length || *length < 0 || *length > static_cast<long>(kMaxValue)) return Progress::kBroken;
+      if (!length || *length < 0 || *length > static_cast<long>(kMaxWhole)) return Progress::kBroken;
       return finish(cursor.Value(static_cast<std::size_t>(*length), out.text));
     }
     case '*': {
@@ -176,7 +179,7 @@
       for (long i = 0; i < *length; ++i) {
         const std::size_t begin = cursor.at();
         out.parts[out.count] = {};
-        progress = ParsePart(cursor, out.parts[out.count]);
+        progress = ParsePart(cursor, i == 0 ? kMaxValue : kMaxWhole, out.parts[out.count]);
         if (progress != Progress::kWhole) return finish(progress);
         if (i == 0) out.first_raw = bytes.substr(begin, cursor.at() - begin);
         ++out.count;
@@ -188,6 +191,37 @@
   }
 }
 
+bool BeginsLarge(std::string_view bytes, LargeValue& out) {
+  if (bytes.empty() || bytes[0] != '*') return false;
+  Cursor cursor(bytes);
+  std::string_view line;
+  if (cursor.Header("*", line) != Progress::kWhole) return false;
+  const std::optional<long> parts = ToLength(line.substr(1));
+  if (!parts || *parts < 1 || *parts > static_cast<long>(kMaxParts)) return false;
+  out.at = cursor.at();
+  if (cursor.at() == bytes.size() || cursor.Header("$", line) != Progress::kWhole) return false;
+  const std::optional<long> length = ToLength(line.substr(1));
+  if (!length || *length <= static_cast<long>(kMaxWhole) || *length > static_cast<long>(kMaxValue))
+    return false;
+  out.size = cursor.at() - out.at + static_cast<std::size_t>(*length) + 2;
+  out.rest = static_cast<std::size_t>(*parts) - 1;
+  return true;
+}
+
+Progress ParseParts(std::string_view bytes, std::size_t count, Reply& out) {
+  out.count = out.size = out.need = 0;
+  Cursor cursor(bytes);
+  Progress progress = Progress::kWhole;
+  while (progress == Progress::kWhole && out.count < count) {
+    out.parts[out.count] = {};
+    progress = ParsePart(cursor, kMaxWhole, out.parts[out.count]);
+    if (progress == Progress::kWhole) ++out.count;
+  }
+  out.need = cursor.need();
+  out.size = cursor.at();
+  return progress;
+}
+
 void AppendBulk(std::string_view value, std::string& out) {
   out += '$';
   out += std::to_string(value.size());
--- a/src/resp/frame.h
+++ b/src/resp/frame.h
@@ -12,10 +12,14 @@
 
 namespace postspread::resp {
 
-inline constexpr std::size_t kMaxValue = 64 * 1024;           // bytes of one bulk string
-inline constexpr std::size_t kMaxCommand = kMaxValue + 4096;  // bytes of a whole command
-inline constexpr std::size_t kMaxParts = 8;                   // elements of an array
-inline constexpr std::size_t kMaxLine = 1024;                 // bytes of a line that is not a bulk string
+inline constexpr std::size_t kMaxValue = 4 * 1024 * 1024;  // bytes of a body or an answer's value
+inline constexpr std::size_t kMaxWhole =
+    64 * 1024;  // bytes of any other bulk string; a value over this is large
+inline constexpr std::size_t kMaxHead = kMaxWhole + 4096;              // bytes of a command before its body
+inline constexpr std::size_t kMaxCommand = kMaxHead + kMaxValue + 64;  // bytes of a whole command
+inline constexpr std::size_t kBodyAt = 4;      // the part of a command that is its body
+inline constexpr std::size_t kMaxParts = 8;    // elements of an array
+inline constexpr std::size_t kMaxLine = 1024;  // bytes of a line that is not a bulk string
 
 enum class Progress { kWhole, kPartial, kBroken };
 
@@ -48,6 +52,16 @@
 };
 Progress ParseReply(std::string_view bytes, Reply& out);
 
+// An answer that begins with a large value, of which not all need be there.
+struct LargeValue {
+  std::size_t at = 0;    // where the value's own framing begins
+  std::size_t size = 0;  // its bytes, framing included
+  std::size_t rest = 0;  // parts of the answer after it
+};
+bool BeginsLarge(std::string_view bytes, LargeValue& out);
+// The parts of an answer that stand behind its first.
+Progress ParseParts(std::string_view bytes, std::size_t count, Reply& out);
+
 // Writers append to `out`.
 void AppendBulk(std::string_view value, std::string& out);
 void AppendCommand(std::initializer_list<std::string_view> parts, std::string& out);
--- a/src/resp/request.cpp
+++ b/src/resp/request.cpp
@@ -40,25 +40,28 @@
 }  // namespace
 
 Letter::Letter(std::string_view message, std::string_view extras, std::string_view patience)
-    : message_(message),
+    : message_(std::make_shared<const std::string>(message)),
       extras_at_(static_cast<std::size_t>(extras.data() - message.data())),
       extras_size_(extras.size()),
       patience_at_(static_cast<std::size_t>(patience.data() - message.data())),
       patience_size_(patience.size()) {
-  length_at_ = message_.rfind('$', extras_at_) + 1;
+  length_at_ = message_->rfind('$', extras_at_) + 1;
 }
 
-void Letter::Render(std::chrono::milliseconds wait, std::string& out) const {
+void Letter::RenderHead(std::chrono::milliseconds wait, std::string& out) const {
   std::array<char, 24> digits;
   const auto* digits_end = std::to_chars(digits.data(), digits.data() + digits.size(), wait.count()).ptr;
   const std::string_view patience(digits.data(), static_cast<std::size_t>(digits_end - digits.data()));
-  const std::string_view message = message_;
+  const std::string_view message = *message_;
   out += message.substr(0, length_at_);
   out += std::to_string(extras_size_ - patience_size_ + patience.size());
   out += "\r\n";
   out += message.substr(extras_at_, patience_at_ - extras_at_);
   out += patience;
-  out += message.substr(patience_at_ + patience_size_);
+}
+
+std::string_view Letter::tail() const {
+  return std::string_view(*message_).substr(patience_at_ + patience_size_);
 }
 
 const char* DecodeRequest(const Command& command, const Vocabulary& vocabulary, Request& out) {
--- a/src/resp/request.h
+++ b/src/resp/request.h
@@ -3,6 +3,7 @@
 #define POSTSPREAD_RESP_REQUEST_H_
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,11 +34,15 @@
   // `extras` and `patience` are slices of `message`; `patience` holds the digits of d.
   Letter(std::string_view message, std::string_view extras, std::string_view patience);
 
-  void Render(std::chrono::milliseconds wait, std::string& out) const;
-  std::size_t size() const { return message_.size(); }
+  // Appends the command up to and with `wait` in the place of the time that it told; the tail follows.
+  void RenderHead(std::chrono::milliseconds wait, std::string& out) const;
+  std::string_view tail() const;
+  // Holds what tail() shows.
+  const std::shared_ptr<const std::string>& text() const { return message_; }
+  std::size_t size() const { return message_ ? message_->size() : 0; }
 
  private:
-  std::string message_;
+  std::shared_ptr<const std::string> message_;
   std::size_t length_at_ = 0;  // of the header of the extras, behind its '$'
   std::size_t extras_at_ = 0, extras_size_ = 0;
   std::size_t patience_at_ = 0, patience_size_ = 0;
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -87,6 +87,23 @@
     buffer_.erase(0, command.size);
     return out;
   }
+  // As many bytes as are there now, `most` at the most; empty: the connection ended or stalled.
+  std::string Some(std::size_t most) {
+    if (buffer_.empty() && !Fill()) return {};
+    const std::string out = buffer_.substr(0, most);
+    buffer_.erase(0, out.size());
+    return out;
+  }
+  // Sends what the socket takes at this moment; returns how much that was.
+  std::size_t SendSome(std::string_view bytes) {
+    const ssize_t sent = send(socket_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
+  void Reset() {  // closes as a process that dies does
+    const linger hard{1, 0};
+    setsockopt(socket_.fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    socket_.Close();
+  }
   // True once the other end has closed with nothing left unread.
   bool Ended() { return !Fill() && buffer_.empty(); }
   // True where something is there to be read at this moment.
@@ -267,6 +284,15 @@
     REQUIRE(waitpid(std::exchange(pid_, -1), &status, 0) > 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
+  // The most memory that the program has held so far, in bytes.
+  std::size_t PeakMemory() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+      if (line.rfind("VmHWM:", 0) == 0) return std::stoul(line.substr(6)) * 1024;
+    }
+    return 0;
+  }
   void Terminate() { kill(pid_, SIGTERM); }
   // From now on `pid` is the process that is meant; returns the one before.
   pid_t Turn(pid_t pid) { return std::exchange(pid_, pid); }
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -193,7 +193,8 @@
     REQUIRE(DecodeRequest(command, Words(), request) == nullptr);
     const Letter letter(command.message(), request.extras, request.patience);
     std::string out;
-    letter.Render(milliseconds(371), out);
+    letter.RenderHead(milliseconds(371), out);
+    out += letter.tail();
     std::string expected = extras;
     expected.replace(extras.rfind(extras.front() == 'd' ? "d=5" : "d=4800") + 2,
                      extras.front() == 'd' ? 1 : 4, "371");
@@ -210,5 +211,54 @@
   CHECK(load.errors_per_second < 0);
 }
 
+std::string Bulk(std::size_t size) {
+  std::string out;
+  AppendBulk(std::string(size, 'v'), out);
+  return out;
+}
+
+TEST_CASE("only a command's body may be large") {
+  const std::string head = "*5\r\n$1\r\na\r\n$1\r\nb\r\n$1\r\nc\r\n$1\r\nd\r\n";
+  Command command;
+  const std::string whole = head + Bulk(kMaxValue);
+  CHECK(ParseCommand(whole, command) == Progress::kWhole);
+  CHECK(command.parts[4].size() == kMaxValue);
+  CHECK(command.size == whole.size());
+  CHECK(ParseCommand(std::string_view(whole).substr(0, head.size() + 20), command) == Progress::kPartial);
+  CHECK(command.need == whole.size());
+  CHECK(command.count == kBodyAt);
+  CHECK(ParseCommand(head + "$4194305\r\n", command) == Progress::kBroken);
+  CHECK(ParseCommand("*5\r\n$65537\r\n", command) == Progress::kBroken);
+}
+
+TEST_CASE("an answer that begins with a large value is told by its header alone, however it is cut") {
+  LargeValue large;
+  const std::string answer = "*3\r\n" + Bulk(100'000) + "$-1\r\n$9\r\nutil=0.25\r\n";
+  const std::size_t header = std::string("*3\r\n$100000\r\n").size();
+  for (std::size_t size = 0; size < header; ++size) CHECK_FALSE(BeginsLarge(answer.substr(0, size), large));
+  for (const std::size_t size : {header, header + 1, std::size_t(4'000), answer.size()}) {
+    REQUIRE(BeginsLarge(answer.substr(0, size), large));
+    CHECK(large.at == 4);
+    CHECK(large.size == Bulk(100'000).size());
+    CHECK(large.rest == 2);
+  }
+  Reply rest;
+  const std::string behind = answer.substr(large.at + large.size);
+  for (std::size_t size = 0; size < behind.size(); ++size) {
+    REQUIRE(ParseParts(behind.substr(0, size), large.rest, rest) == Progress::kPartial);
+    CHECK(rest.need > size);
+  }
+  const std::string more = behind + "x";
+  REQUIRE(ParseParts(more, large.rest, rest) == Progress::kWhole);
+  CHECK(rest.size == behind.size());
+  CHECK(rest.parts[1].text == "util=0.25");
+  CHECK(ParseParts("x", 1, rest) == Progress::kBroken);
+  for (const char* other :
+       {"$100000\r\n", "*3\r\n$65536\r\n", "*3\r\n$4194305\r\n", "*3\r\n$3000000000\r\n", "*0\r\n$100000\r\n",
+        "*9\r\n$100000\r\n", "*3\r\n:100000\r\n", "*x\r\n$100000\r\n", "-ERR failed\r\n"}) {
+    CHECK_FALSE(BeginsLarge(other, large));
+  }
+}
+
 }  // namespace
 }  // namespace postspread::resp
