--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -15,8 +15,9 @@
 
 using namespace json_read;
 
-constexpr std::int64_t kLeastMemoryMb = 32;  // the program's own need with room for a busy second
-constexpr std::int64_t kLeastSockets = 32;   // a listener, discovery, the counter and some of each side
+constexpr std::int64_t kLeastMemoryMb =
+    16;  // the program itself, one body of 4 MB and its copy, and a busy second
+constexpr std::int64_t kLeastSockets = 32;  // a listener, discovery, the counter and some of each side
 constexpr std::chrono::seconds kUsualHopIdle{30};
 constexpr std::int64_t kUsualMaxOpen = 20'000;
 
