Evict by least progress in a crowd and let clients in by batches

Change: src/flow/eviction.h ranks who goes, without sockets: done, heads past 2 s, silent for 0.1 s, unused, then commands that stood still for 0.25 s; a client that writes steadily for 2 s stays. What can't be let in waits in the kernel's queue; others get their turn after 32 accepts.

--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -60,6 +60,10 @@
   return config.sockets - kOtherSockets - (config.ops ? kDoorSockets : 0);
 }
 
+// A next hop's connection is used again and again, a client's may be new with each request and slow: five in
+// eight are for clients.
+std::size_t ClientSockets(const config::Config& config) { return Sockets(config) * 5 / 8; }
+
 }  // namespace
 
 Gatekeeper::Gatekeeper(event_base* base, const config::Config& config,
@@ -84,10 +88,10 @@
       pool_(base,
             {.dial_timeout = config.settings.dial_timeout,
              .idle = config.hop_idle,
-             .connections = Sockets(config) / 2},
+             .connections = Sockets(config) - ClientSockets(config)},
             *this),
-      sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings), Sockets(config) / 2,
-                   bodies_, *this) {
+      sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings),
+                   ClientSockets(config), bodies_, *this) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -34,6 +34,8 @@
 constexpr std::chrono::milliseconds kOwed{1'000};  // for what is owed before a protocol error
 constexpr std::chrono::milliseconds kLinger{1'000};    // for a client to close after our last answer
 constexpr std::chrono::milliseconds kAcceptAgain{50};  // until accepting is tried again
+constexpr std::chrono::milliseconds kRoomAgain{20};    // until it is looked for room again
+constexpr unsigned kAcceptsATurn = 32;                 // connections let in before others get their turn
 constexpr int kBacklog = 1024;
 
 std::string_view Words(planner::FailReason reason) {
@@ -119,7 +121,21 @@
       CloseBetweenRequests();
     }
   }
-  bool lingering() const { return state_ == State::kLingering; }
+  flow::Holder AsHolder(Clock::time_point now) const {
+    const auto since = [now](Clock::time_point then) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
+    };
+    return {
+        .done = state_ == State::kLingering && !broken_,
+        .owed = broken_ || !slots_.empty() || Unwritten(connection_.get()) > 0 || state_ == State::kClosing,
+        .asked = has_asked_,
+        .begun = partial_since_.has_value(),
+        .used = since(used_),
+        .working = partial_since_ ? since(*partial_since_) : std::chrono::milliseconds(0),
+        .silent = since(came_)};
+  }
+  // Bytes have come that are not read yet. Those of a command that has begun may be some of a whole one.
+  bool HasUnread() const { return state_ == State::kOpen && !broken_ && HasNews(connection_.get()); }
 
   // To be closed between requests from then on; nothing: kept.
   void LeaveAt(std::optional<Clock::time_point> at) { leave_at_ = at; }
@@ -307,7 +323,7 @@
     const std::string_view verb = command_.parts[0];
     if (verb == "PING") {
       if (command_.count == 1)
-        return Say(side_.intake_.Ready() ? "+PONG\r\n" : "-LOADING not able to serve yet\r\n");
+        return Say(side_.intake_.Ready() ? "+PONG\r\n" : "-LOADING not serving\r\n");
       if (command_.count > 2) return Say("-ERR wrong number of arguments\r\n");
       std::string echo;
       resp::AppendBulk(command_.parts[1], echo);
@@ -434,7 +450,7 @@
   std::size_t window_ = 0;     // of a value in pieces: bytes that may wait to be taken
   std::size_t unwritten_ = 0;  // at the last look
   Clock::time_point untaken_since_;
-  Clock::time_point came_;  // the last bytes
+  Clock::time_point came_ = Clock::now();  // the last bytes
   std::size_t need_ = 0;
   std::size_t held_ = 0;  // bytes of answers that wait for their turn
   resp::Command command_;
@@ -453,7 +469,11 @@
       inherited_(inherited.has_value()),
       accept_again_(base,
                     [this] {
-                      if (listener_) evconnlistener_enable(listener_.get());
+                      if (!listener_) return;
+                      if (connections_.size() >= max_connections_ && !MakeRoom()) {
+                        return accept_again_.Arm(kRoomAgain);
+                      }
+                      evconnlistener_enable(listener_.get());
                     }),
       upkeep_(base, [this] { Upkeep(); }),
       leave_check_(base, [this] { LookLeaving(); }) {
@@ -495,6 +515,12 @@
     return;
   }
   connections_.push_back(std::make_unique<Connection>(*this, fd));
+  // Others get their turn after so many, and what can't be let in waits in the kernel's queue.
+  const bool full = connections_.size() >= max_connections_ && !MakeRoom();
+  if (listener_ && (full || ++accepted_ % kAcceptsATurn == 0)) {
+    evconnlistener_disable(listener_.get());
+    accept_again_.Arm(full ? kRoomAgain : std::chrono::milliseconds(0));
+  }
   if (leaving_)
     connections_.back()->LeaveAt(std::max(Clock::now() + kFirstWord, *leaving_ + leaving_plan_.first));
 }
@@ -549,20 +575,16 @@
   }
 }
 
-// Closes one connection that is between requests; its client opens another when it needs one. First those
-// whose client is done with, then those that stay without having asked, then the longest unused, so that
-// those that say nothing do not crowd out usual clients; last those that have just come and whose first
-// request is on its way: taken before the longest unused, each new client was the end of the one before it.
+// Closes the connection that can best be spared; its client opens another when it needs one.
 bool SenderSide::MakeRoom() {
   const auto now = Clock::now();
-  const auto rank = [now](const Connection& c) {
-    const bool is_new = !c.has_asked() && now - c.used() < kFirstWord;
-    return std::make_tuple(c.lingering() ? 0 : is_new ? 3 : c.has_asked() ? 2 : 1, c.used());
-  };
   auto best = connections_.end();
+  std::optional<flow::Standing> first;
   for (auto it = connections_.begin(); it != connections_.end(); ++it) {
-    if (best != connections_.end() && rank(**it) >= rank(**best)) continue;
-    if ((*it)->lingering() || (*it)->idle()) best = it;
+    const std::optional<flow::Standing> standing = flow::StandingOf((*it)->AsHolder(now));
+    if (!standing || (first && *standing >= *first) || (*it)->HasUnread()) continue;
+    best = it;
+    first = standing;
   }
   if (best == connections_.end()) return false;
   connections_.erase(best);
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -16,6 +16,7 @@
 
 #include "envelope.h"
 #include "flow/byte_budget.h"
+#include "flow/eviction.h"
 #include "net/log.h"
 #include "net/loop.h"
 #include "ops/lifecycle.h"
@@ -117,6 +118,7 @@
   // and passed on it could run in the other's place.
   std::unordered_set<std::size_t> open_ids_;
   Listener listener_;
+  unsigned accepted_ = 0;
   Timer accept_again_;
   Timer upkeep_;
   Timer leave_check_;
--- a/tests/flow/process_test.cpp
+++ b/tests/flow/process_test.cpp
@@ -231,5 +231,55 @@
   CHECK(waiting.Line() == "-ERR bad customer\r\n");
 }
 
+TEST_CASE("true clients are served among a crowd that never finishes, slow ones too, and a stop ends it") {
+  const int sockets = 96;  // of which clients get some thirty
+  Site site(1, {{"limits", {{"memory_mb", 24}, {"sockets", sockets}}}});
+  site.Start(1);
+  std::vector<Peer> crowd;
+  const auto more = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      crowd.push_back(site.Client());
+      if (i % 2 == 0) crowd.back().SendSome("*4\r\n$8\r\nAPI.READ\r\n$16\r\n000");
+    }
+  };
+  more(60);
+  Peer slow = site.Client();
+  const std::string command = Ask("slow");
+  std::optional<Peer> hop;
+  for (std::size_t part = 0; part < 10; ++part) {
+    const std::size_t size = command.size() / 10 + 1;
+    slow.Send(command.substr(part * size, size));
+    more(20);
+    Peer quick = site.Client();
+    quick.Send(Ask("q" + std::to_string(part)));
+    site.Grant();
+    if (!hop) hop.emplace(site.hop(0).Accept());
+    if (part == 9) {  // the slow one's last part came just before
+      const std::string first = hop->Command().at(2);
+      hop->Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+      site.Grant();
+      CHECK((first == "slow" || first == "q9"));
+      if (!site.hop(0).Asked()) {
+        hop->Command();
+        hop->Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+      } else {
+        Peer second = site.hop(0).Accept();
+        second.Command();
+        second.Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+        quick.Until("hi\r\n");
+        slow.Until("hi\r\n");
+      }
+    } else {
+      CHECK(hop->Command().at(2) == "q" + std::to_string(part));
+      hop->Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+    }
+    if (part < 9) CHECK(quick.Until("hi\r\n") == "$2\r\nhi\r\n");
+    usleep(190'000);
+  }
+  more(60);
+  site.Terminate();
+  CHECK(site.Wait() == 0);
+}
+
 }  // namespace
 }  // namespace postspread
