--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::seconds kUntaken{10};              // without a byte of its answers taken by a client
 constexpr int kKernelBytes = 64 * 1024;  // of the kernel's, for a connection that is sent a large value
 constexpr std::chrono::milliseconds kLeastIdle{300};  // of one that is closed to make room for others
-constexpr std::size_t kMany = 4;                      // part of the connections from which on they are many
+constexpr std::size_t kMany = 5;                      // part of the connections from which on they are many
 constexpr std::chrono::milliseconds kFirstWord{
     500};                                          // in which a new client's first request may be on its way
 constexpr std::chrono::milliseconds kOwed{1'000};  // for what is owed before a protocol error
@@ -322,8 +322,7 @@
     if (command_.count == 0) return Say("-ERR empty command\r\n");
     const std::string_view verb = command_.parts[0];
     if (verb == "PING") {
-      if (command_.count == 1)
-        return Say(side_.intake_.Ready() ? "+PONG\r\n" : "-LOADING not serving\r\n");
+      if (command_.count == 1) return Say(side_.intake_.Ready() ? "+PONG\r\n" : "-LOADING not serving\r\n");
       if (command_.count > 2) return Say("-ERR wrong number of arguments\r\n");
       std::string echo;
       resp::AppendBulk(command_.parts[1], echo);
@@ -553,7 +552,7 @@
 // used at the time returned or before: the longest unused, or clients that ask once and stay would keep
 // others out.
 Clock::time_point SenderSide::Crowded(Clock::time_point now) const {
-  const std::size_t room = max_connections_ / 2;  // some three quarters of that third
+  const std::size_t room = max_connections_ * 2 / 5;  // a quarter of all: some three quarters of that third
   std::vector<Clock::time_point> used;
   for (const auto& connection : connections_) {
     if (connection->has_asked()) used.push_back(connection->used());
