Keep each of the two processes of an upgrade to half of the limits

Change: with an inherited socket each process keeps to half of the descriptors and of the memory that the budgets are parts of.

--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -56,8 +56,15 @@
   return config::ToPeers(config);
 }
 
+// With an inherited socket another process may stand beside this one: the limits are for both together, and
+// each keeps to half of them.
+std::size_t Processes(const config::Config& config) { return config.inherited ? 2 : 1; }
+std::size_t Memory(const config::Config& config) {
+  return config.memory_mb * kBytesPerMb / Processes(config);
+}
+
 std::size_t Sockets(const config::Config& config) {
-  return config.sockets - kOtherSockets - (config.ops ? kDoorSockets : 0);
+  return config.sockets / Processes(config) - kOtherSockets - (config.ops ? kDoorSockets : 0);
 }
 
 // A next hop's connection is used again and again, a client's may be new with each request and slow: five in
@@ -76,8 +83,8 @@
                 .demand = operators.demand,
                 .has_peers = PeersOf(config, operators).has_value()}),
       max_open_(config.max_open),
-      letters_(config.memory_mb * kBytesPerMb / kLettersShare),
-      bodies_(std::max(resp::kMaxCommand, config.memory_mb * kBytesPerMb / kBodiesShare)),
+      letters_(Memory(config) / kLettersShare),
+      bodies_(std::max(resp::kMaxCommand, Memory(config) / kBodiesShare)),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
       start_(base, [this] { StartAccepting(); }),
@@ -193,7 +200,7 @@
   const std::optional<Held> held = Release(report.envelope);
   if (!held || held->recipient == nullptr) return Value::kNone;
   passing_.emplace(report.envelope, Passing{held->recipient, held->ticket, report.attempt, held->figures});
-  const std::size_t all = config_.memory_mb * kBytesPerMb / kPassingShare;
+  const std::size_t all = Memory(config_) / kPassingShare;
   held->recipient->Begin(held->ticket, std::clamp(all / 2 / passing_.size(), kLeastWindow, kMostWindow));
   // For the decisions the attempt has ended: what is left is the way to the client.
   Report(report);
