--- a/tests/flow/process_test.cpp
+++ b/tests/flow/process_test.cpp
@@ -11,10 +11,6 @@
 
 constexpr std::size_t kMegabyte = 1 << 20;
 
-std::string Ask(std::string_view id) {
-  return Command({"API.READ", "0000000000000001", id, "c=lookup,t=team,d=60000,units=1,spread=2,first=0"});
-}
-
 std::string Value(std::size_t size, unsigned seed) {
   std::mt19937 random(seed);
   std::string body(size, ' ');
@@ -32,7 +28,7 @@
   std::mt19937 random(21);
   std::optional<Peer> hop;
   for (const std::size_t size : {65'536u, 65'537u, 300'000u, 4'194'304u}) {
-    client.Send(Ask("v" + std::to_string(size)));
+    client.Send(Read("v" + std::to_string(size)));
     site.Grant();
     if (!hop) hop.emplace(site.hop(0).Accept());  // and is used again after each
     hop->Command();
@@ -60,7 +56,7 @@
   std::vector<Peer> clients, hops;
   for (int i = 0; i < kClients; ++i) {
     clients.push_back(site.Client());
-    clients.back().Send(Ask("m" + std::to_string(i)));
+    clients.back().Send(Read("m" + std::to_string(i)));
     site.Grant();
     hops.push_back(site.hop(0).Accept());
     hops.back().Command();
@@ -91,14 +87,14 @@
   Site site(1);
   site.Start(1);
   Peer client = site.Client();
-  client.Send(Ask("a") + Ask("b"));
+  client.Send(Read("a") + Read("b"));
   site.Grant();
   site.Grant();
   Peer first = site.hop(0).Accept();
   Peer second = site.hop(0).Accept();
   if (first.Command().at(2) != "a") std::swap(first, second);
   const std::string value = Value(1 * kMegabyte, 6);
-  second.Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+  second.Send(kValue);
   const std::string begun = "*3\r\n" + value.substr(0, 200'000);
   first.Send(begun);
   std::string got;
@@ -115,7 +111,7 @@
   Site site(1);
   site.Start(1);
   Peer client = site.Client();
-  client.Send(Ask("a"));
+  client.Send(Read("a"));
   site.Grant();
   Peer hop = site.hop(0).Accept();
   hop.Command();
@@ -128,7 +124,7 @@
   Site site(1);
   site.Start(1);
   Peer client = site.Client();
-  client.Send(Ask("a") + Ask("b"));
+  client.Send(Read("a") + Read("b"));
   site.Grant();
   site.Grant();
   Peer first = site.hop(0).Accept();
@@ -140,7 +136,7 @@
   other.Send(Command({"PING"}));
   other.Line();
   CHECK_FALSE(client.HasMore());
-  first.Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+  first.Send(kValue);
   CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
   std::string got;
   while (got.size() < value.size()) got += client.Some(value.size() - got.size());
@@ -206,7 +202,7 @@
   Peer waiting = site.Client();
   waiting.Send(head);
   Peer slow = site.Client();
-  const std::string command = Ask("s");
+  const std::string command = Read("s");
   const auto begun = std::chrono::steady_clock::now();
   for (std::size_t at = 0; at < command.size(); at += command.size() / 9) {
     slow.Send(command.substr(at, command.size() / 9));
@@ -216,7 +212,7 @@
   site.Grant();
   Peer hop = site.hop(0).Accept();
   CHECK(hop.Command().at(2) == "s");
-  hop.Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+  hop.Send(kValue);
   CHECK(slow.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(stopped.Line().find("-ERR Protocol error: command not finished in time") == 0);
   CHECK(another.Line().find("-ERR Protocol error: command not finished in time") == 0);
@@ -244,34 +240,34 @@
   };
   more(60);
   Peer slow = site.Client();
-  const std::string command = Ask("slow");
+  const std::string command = Read("slow");
   std::optional<Peer> hop;
   for (std::size_t part = 0; part < 10; ++part) {
     const std::size_t size = command.size() / 10 + 1;
     slow.Send(command.substr(part * size, size));
     more(20);
     Peer quick = site.Client();
-    quick.Send(Ask("q" + std::to_string(part)));
+    quick.Send(Read("q" + std::to_string(part)));
     site.Grant();
     if (!hop) hop.emplace(site.hop(0).Accept());
     if (part == 9) {  // the slow one's last part came just before
       const std::string first = hop->Command().at(2);
-      hop->Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+      hop->Send(kValue);
       site.Grant();
       CHECK((first == "slow" || first == "q9"));
       if (!site.hop(0).Asked()) {
         hop->Command();
-        hop->Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+        hop->Send(kValue);
       } else {
         Peer second = site.hop(0).Accept();
         second.Command();
-        second.Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+        second.Send(kValue);
         quick.Until("hi\r\n");
         slow.Until("hi\r\n");
       }
     } else {
       CHECK(hop->Command().at(2) == "q" + std::to_string(part));
-      hop->Send("*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+      hop->Send(kValue);
     }
     if (part < 9) CHECK(quick.Until("hi\r\n") == "$2\r\nhi\r\n");
     usleep(40'000);
--- a/tests/ops/process_test.cpp
+++ b/tests/ops/process_test.cpp
@@ -8,18 +8,6 @@
 
 using namespace site;
 
-std::string Ask(std::string_view id) {
-  return Command({"API.READ", "0000000000000001", id, "c=lookup,t=team,d=60000,units=1,spread=2,first=0"});
-}
-const char* const kServed = "*3\r\n$2\r\nhi\r\n$-1\r\n$9\r\nutil=0.25\r\n";
-
-int FreeNumber() {
-  Port free;
-  const int number = free.number();
-  free.Close();
-  return number;
-}
-
 // One call to a connection; the whole response.
 std::string Call(int port, const std::string& line) {
   Peer peer = Connect(port);
@@ -84,15 +72,15 @@
   CHECK(Figure(ops, "svc_completed{lane=\"lookup\"}") == 0);
   CHECK(Figure(ops, "svc_members") == 1);
   Peer client = site.Client();
-  client.Send(Ask("a"));
+  client.Send(Read("a"));
   site.Grant();
   Peer hop = site.hop(0).Accept();
   hop.Command();
   CHECK(Figure(ops, "svc_pending") == 1);
   CHECK(Figure(ops, "svc_upstream_requests") == 1);
-  hop.Send(kServed);
+  hop.Send(kValue);
   client.Until("hi\r\n");
-  client.Send(Ask("b"));
+  client.Send(Read("b"));
   site.Grant();
   hop.Command();
   hop.Send("-BUSY\r\n");
@@ -121,13 +109,11 @@
   crowd.push_back(Connect(full.number()));
   Peer watch = site.discovery().Accept();
   watch.Until("\r\n\r\n");
-  const std::string list =
-      Site::List(true, {{{"name", "s-0"}, {"address", full.address()}, {"status", "Ready"}}}).dump();
-  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+  Site::Tell(watch, Site::List(true, {{{"name", "s-0"}, {"address", full.address()}, {"status", "Ready"}}}));
   Peer calls = site.counter().Accept();
   site.WaitUntilReady();
   Peer client = site.Client();
-  client.Send(Ask("a"));
+  client.Send(Read("a"));
   calls.Command();
   calls.Send("$1\r\n1\r\n");
   while (Figure(ops, "svc_pending") != 1) usleep(5'000);
@@ -142,12 +128,12 @@
   idle.Send(Command({"PING"}));
   CHECK(idle.Line() == "+PONG\r\n");
   Peer busy = site.Client();
-  busy.Send(Ask("a"));
+  busy.Send(Read("a"));
   site.Grant();
   Peer hop = site.hop(0).Accept();
   hop.Command();
   Peer cut = site.Client();  // a command that has begun to come when the drain begins
-  const std::string command = Ask("c");
+  const std::string command = Read("c");
   cut.Send(command.substr(0, 40));
   CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/drain")));
   CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/drain")));
@@ -155,11 +141,11 @@
   idle.Send(Command({"PING"}));
   CHECK(idle.Line() != "+PONG\r\n");
   Peer late = site.Client();  // the front still sends for a moment
-  late.Send(Ask("b"));
+  late.Send(Read("b"));
   site.Grant();
   Peer second = site.hop(0).Accept();
   second.Command();
-  second.Send(kServed);
+  second.Send(kValue);
   CHECK(late.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(idle.Ended());
   CHECK(late.Ended());
@@ -167,10 +153,10 @@
   cut.Send(command.substr(40));
   site.Grant();
   second.Command();
-  second.Send(kServed);
+  second.Send(kValue);
   CHECK(cut.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(cut.Ended());
-  hop.Send(kServed);
+  hop.Send(kValue);
   CHECK(busy.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(busy.Ended());
   CHECK(Yes(Call(ops, "PUT /v1/gatekeeper/activate")));
@@ -209,7 +195,7 @@
   Peer client = site.Client();
   client.Send(write("early"));
   CHECK(client.Line() == "-ERR unknown class\r\n");
-  client.Send(Ask("old"));
+  client.Send(Read("old"));
   site.Grant();
   Peer hop = site.hop(0).Accept();
   hop.Command();
@@ -230,13 +216,13 @@
   site.Reload(fewer);
   while (Figure(ops, "svc_config_reloads") != 2) usleep(5'000);
   Peer third = site.Client();
-  third.Send(Ask("gone"));
+  third.Send(Read("gone"));
   CHECK(third.Line() == "-ERR unknown class\r\n");
   second.Send("-ERR failed\r\n");  // it may have run, and its class allows no repeat
   CHECK(other.Line() == "-ERR failed\r\n");
   hop.Send("-ERR failed\r\n");  // one of two attempts, by the settings it came under: it goes out again
   CHECK(second.Command().at(2) == "old");  // on the connection that is free
-  second.Send(kServed);
+  second.Send(kValue);
   CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(Figure(ops, "svc_completed{lane=\"lookup\"}") == 1);  // a class that went is told of still
   CHECK(Figure(ops, "svc_failed{lane=\"later\"}") == 1);
@@ -251,19 +237,18 @@
   idle.Send(Command({"PING"}));
   CHECK(idle.Line() == "+PONG\r\n");
   Peer busy = site.Client();
-  busy.Send(Ask("a"));
+  busy.Send(Read("a"));
   site.Grant();
   Peer hop = site.hop(0).Accept();
   hop.Command();
   Peer slow = site.Client();  // takes its time to write
-  const std::string command = Ask("s");
+  const std::string command = Read("s");
   slow.Send(command.substr(0, 50));
 
   const pid_t first = site.Turn(site.Spawn({"ROUTER_OPS=127.0.0.1:" + std::to_string(second_ops)}));
   Peer watch = site.discovery().Accept();  // the second one's
   watch.Until("\r\n\r\n");
-  const std::string list = Site::List(true, site.Entries(0, 1, "Ready")).dump();
-  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+  Site::Tell(watch, Site::List(true, site.Entries(0, 1, "Ready")));
   Peer calls = site.counter().Accept();
   const auto ready = [&] {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -278,21 +263,21 @@
   kill(first, SIGTERM);
   CHECK(idle.Ended());
   Peer fresh = site.Client();  // only the second one accepts now
-  fresh.Send(Ask("b"));
+  fresh.Send(Read("b"));
   calls.Command();
   calls.Send("$1\r\n1\r\n");
   Peer other = site.hop(0).Accept();
   CHECK(other.Command().at(2) == "b");
-  other.Send(kServed);
+  other.Send(kValue);
   CHECK(fresh.Until("hi\r\n") == "$2\r\nhi\r\n");
   slow.Send(command.substr(50));  // begun before, ended after: still the first one's
   site.Grant();
   Peer third = site.hop(0).Accept();
   CHECK(third.Command().at(2) == "s");
-  third.Send(kServed);
+  third.Send(kValue);
   CHECK(slow.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(slow.Ended());
-  hop.Send(kServed);
+  hop.Send(kValue);
   CHECK(busy.Until("hi\r\n") == "$2\r\nhi\r\n");
   CHECK(busy.Ended());
   for (Peer* peer : {&idle, &busy, &slow}) peer->Close();
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -168,6 +168,19 @@
   return out;
 }
 
+// A request as a client sends it, and an answer as a next hop gives it.
+inline std::string Read(std::string_view id) {
+  return Command({"API.READ", "0000000000000001", id, "c=lookup,t=team,d=60000,units=1,spread=2,first=0"});
+}
+inline const char* const kValue = "*3\r\n$2\r\nhi\r\n$-1\r\n$9\r\nutil=0.25\r\n";
+
+inline int FreeNumber() {
+  Port free;
+  const int number = free.number();
+  free.Close();
+  return number;
+}
+
 // The program with its partners. Time limits of the settings are far off, so that none runs out by chance.
 class Site {
  public:
@@ -176,9 +189,7 @@
   explicit Site(int hops, json changes = json::object(), bool with_variables = false,
                 const char* operators = nullptr, Port* inherited = nullptr)
       : hops_(static_cast<std::size_t>(hops)), inherited_(inherited) {
-    Port free;
-    port_ = inherited != nullptr ? inherited->number() : free.number();
-    free.Close();
+    port_ = inherited != nullptr ? inherited->number() : FreeNumber();
     config_ = {{"name", "n0"},
                {"listen", "127.0.0.1:" + std::to_string(port_)},
                {"discovery", discovery_.address()},
@@ -265,9 +276,10 @@
   static json List(bool full, json entries) {
     return {{"index", 41}, {"snapshot", full}, {"endpoints", std::move(entries)}};
   }
-  void Tell(const json& list) {
+  void Tell(const json& list) { Tell(watch(), list); }
+  static void Tell(Peer& watch, const json& list) {
     const std::string body = list.dump();
-    watch().Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
   // Plays the counter for one call; a total that lacked what was added before would be put right by another.
   void Grant() {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -7,12 +7,6 @@
 
 using namespace site;
 
-std::string Read(std::string_view id) {
-  return Command({"API.READ", "0000000000000001", id, "c=lookup,t=team,d=60000,units=1,spread=2,first=0"});
-}
-
-const char* const kValue = "*3\r\n$2\r\nhi\r\n$-1\r\n$9\r\nutil=0.25\r\n";
-
 TEST_CASE("a request is granted, passed on as received but for d, and answered with the value alone") {
   Site site(1, {{"settings", {{"Limits", {{"MostTries", 1}}}}}});
   site.Start(1);
