--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -184,7 +184,8 @@
 // The program with its partners. Time limits of the settings are far off, so that none runs out by chance.
 class Site {
  public:
-  // `operators`: the text of an operator file to start with; null: none. `inherited`: the clients' listening
+  // `ops` in `changes`, whatever it is: operators call at ops(). `operators`: the text of an operator file to
+  // start with; null: none. `inherited`: the clients' listening
   // socket, which the process gets as descriptor 7.
   explicit Site(int hops, json changes = json::object(), bool with_variables = false,
                 const char* operators = nullptr, Port* inherited = nullptr)
@@ -208,6 +209,7 @@
                    {"DialTimeout", 60'000'000},
                    {"ConnIdle", 60'000'000}}}}}};
     config_.merge_patch(changes);
+    if (changes.contains("ops")) config_["ops"] = "127.0.0.1:" + std::to_string(ops_ = FreeNumber());
     path_ = "process_test_" + std::to_string(getpid()) + "_" + std::to_string(port_) + ".json";
     std::ofstream(path_) << config_.dump();
     operator_path_ = operators != nullptr ? path_ + ".conf" : "";
@@ -281,6 +283,48 @@
     const std::string body = list.dump();
     watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
+  // A request that a next hop has and its client waits for.
+  struct Held {
+    Peer client, hop;
+    void Serve() {
+      hop.Send(kValue);
+      CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+    }
+  };
+  Held Hold(std::string_view id) {
+    Peer client = Client();
+    client.Send(Read(id));
+    Grant();
+    Peer hop = this->hop(0).Accept();
+    CHECK(hop.Command().at(2) == id);
+    return {std::move(client), std::move(hop)};
+  }
+  // What PING is answered with on a connection that is new, or on this one.
+  std::string Ping() {
+    Peer client = Client();
+    return Ping(client);
+  }
+  static std::string Ping(Peer& client) {
+    client.Send(Command({"PING"}));
+    return client.Line();
+  }
+  // One call at the operators' door; the whole response.
+  std::string Call(const std::string& line) const { return Call(ops_, line); }
+  static std::string Call(int port, const std::string& line) {
+    Peer peer = Connect(port);
+    peer.Send(line + " HTTP/1.1\r\nHost: gatekeeper\r\n\r\n");
+    std::string out;
+    for (std::string part; !(part = peer.Some(1 << 20)).empty();) out += part;
+    return out;
+  }
+  // A figure's value, as the door tells it.
+  double Figure(const std::string& name) const {
+    const std::string text = Call("GET /v1/metrics");
+    const std::size_t at = text.find("\n" + name + " ");
+    if (at == std::string::npos) FAIL("no figure " + name + " in " + text);
+    return std::stod(text.substr(at + name.size() + 2));
+  }
+  int ops() const { return ops_; }
   // Plays the counter for one call; a total that lacked what was added before would be put right by another.
   void Grant() {
     const auto call = calls().Command();
@@ -367,7 +411,7 @@
   double total_ = 0;
   Port* inherited_ = nullptr;
   std::string path_, operator_path_;
-  int port_ = 0;
+  int port_ = 0, ops_ = 0;
   pid_t pid_ = -1;
 };
 
