--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -87,6 +87,12 @@
     buffer_.erase(0, command.size);
     return out;
   }
+  // All of `size` bytes.
+  std::string Bytes(std::size_t size) {
+    std::string out;
+    for (std::string part; out.size() < size && !(part = Some(size - out.size())).empty();) out += part;
+    return out;
+  }
   // As many bytes as are there now, `most` at the most; empty: the connection ended or stalled.
   std::string Some(std::size_t most) {
     if (buffer_.empty() && !Fill()) return {};
@@ -313,9 +319,7 @@
   static std::string Call(int port, const std::string& line) {
     Peer peer = Connect(port);
     peer.Send(line + " HTTP/1.1\r\nHost: gatekeeper\r\n\r\n");
-    std::string out;
-    for (std::string part; !(part = peer.Some(1 << 20)).empty();) out += part;
-    return out;
+    return peer.Bytes(1 << 20);
   }
   // A figure's value, as the door tells it.
   double Figure(const std::string& name) const {
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -208,7 +208,7 @@
   CHECK(*bench.planner.NextTick() == wanted);
 }
 
-TEST_CASE("classes that come and go take no more places than there were at once; other plans are left") {
+TEST_CASE("classes that come and go take no more places than there were at once, other plans are left") {
   Bench bench;
   Settings next = Site(false);
   next.classes.push_back(next.classes[0]);
