Put the parts of the limits and the times of a stop in their rooms, and share HTTP's lines

The two HTTP parsers cut lines by the same code. What serves neither clients nor next hops is counted in one place. Taken out: two time points nobody read, a flag nobody asked.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <sstream>
 
+#include "config/sockets.h"
 #include "json_read.h"
 #include "settings.h"
 
@@ -17,8 +18,6 @@
 
 constexpr std::int64_t kLeastMemoryMb =
     16;  // the program itself, one body of 4 MB and its copy, and a busy second
-constexpr std::int64_t kDoorSockets = 16;   // more, where there is a door
-constexpr std::int64_t kLeastSockets = 32;  // a listener, discovery, the counter and some of each side
 constexpr std::chrono::seconds kUsualHopIdle{30};
 constexpr std::int64_t kUsualMaxOpen = 20'000;
 
@@ -116,7 +115,8 @@
     const json& limits = Part(from, "limits");
     Within("limits", [&] {
       out.memory_mb = static_cast<std::size_t>(Limit(limits, "memory_mb", kLeastMemoryMb, 192));
-      const std::int64_t least = kLeastSockets * (out.inherited ? 3 : 1) + (out.ops ? kDoorSockets : 0);
+      const auto least =
+          static_cast<std::int64_t>(LeastSockets(out.ops.has_value(), out.inherited.has_value()));
       out.sockets = static_cast<std::size_t>(Limit(limits, "sockets", least, 1024));
       return 0;
     });
--- a/src/http/request.cpp
+++ b/src/http/request.cpp
@@ -40,25 +40,16 @@
 }  // namespace
 
 std::size_t RequestParser::Feed(std::string_view bytes) {
-  std::size_t used = 0;
-  while (used < bytes.size() && !done() && !broken()) {
-    const std::string_view rest = bytes.substr(used);
-    const std::size_t end = rest.find('\n');
-    const std::size_t take = end == std::string_view::npos ? rest.size() : end + 1;
-    head_ += take;
-    if (head_ > kMaxHead) {
+  std::string_view rest = bytes, line;
+  while (!rest.empty() && !done() && !broken()) {
+    const bool whole = lines_.Take(rest, line);
+    if (lines_.too_long()) {
       Broken("the head is too long");
-      break;
+    } else if (whole) {
+      Line(line);
     }
-    line_.append(rest.substr(0, take));
-    used += take;
-    if (end == std::string_view::npos) continue;
-    line_.pop_back();
-    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
-    Line(line_);
-    line_.clear();
   }
-  return used;
+  return bytes.size() - rest.size();
 }
 
 void RequestParser::Line(std::string_view line) {
--- a/src/http/request.h
+++ b/src/http/request.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "http/lines.h"
+
 namespace postspread::http {
 
 class RequestParser {
@@ -31,8 +33,7 @@
 
   State state_ = State::kLine;
   const char* error_ = "";
-  std::size_t head_ = 0;  // bytes so far
-  std::string line_;      // the part of a line that has come
+  LineReader lines_{kMaxHead};
   std::string method_, target_;
 };
 
--- a/src/http/response.cpp
+++ b/src/http/response.cpp
@@ -7,7 +7,6 @@
 namespace postspread::http {
 namespace {
 
-constexpr std::size_t kMaxHeaders = 16 * 1024;
 constexpr std::size_t kMaxBody = 8 * 1024 * 1024;
 
 bool SameWord(std::string_view a, std::string_view b) {
@@ -45,20 +44,14 @@
       if (left_ == 0) state_ = state_ == State::kBody ? State::kDone : State::kChunkEnd;
       continue;
     }
-    const std::size_t end = rest.find('\n');
-    const std::size_t take = end == std::string_view::npos ? rest.size() : end + 1;
-    headers_ += take;
-    if (headers_ > kMaxHeaders) {
+    std::string_view left = rest, line;
+    const bool whole = lines_.Take(left, line);
+    used += rest.size() - left.size();
+    if (lines_.too_long()) {
       state_ = State::kBroken;
-      break;
+    } else if (whole) {
+      Line(line);
     }
-    line_.append(rest.substr(0, take));
-    used += take;
-    if (end == std::string_view::npos) continue;
-    line_.pop_back();
-    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
-    Line(line_);
-    line_.clear();
   }
   return used;
 }
@@ -77,7 +70,7 @@
     case State::kChunkSize:
       return ChunkSize(line);
     case State::kChunkEnd:
-      headers_ = 0;
+      lines_.Restart();
       state_ = line.empty() ? State::kChunkSize : State::kBroken;
       return;
     case State::kTrailers:
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "http/lines.h"
+
 namespace postspread::http {
 
 class ResponseParser {
@@ -43,14 +45,15 @@
   void HeadersEnd();
   void ChunkSize(std::string_view line);
 
+  static constexpr std::size_t kMaxHeaders = 16 * 1024;  // bytes of status line and headers
+
   State state_ = State::kStatus;
+  LineReader lines_{kMaxHeaders};
   int status_ = 0;
   bool closes_ = false;
   bool chunked_ = false;
   bool has_length_ = false;
-  std::size_t left_ = 0;     // bytes of the body or chunk that are still to come
-  std::size_t headers_ = 0;  // bytes of status line and headers so far
-  std::string line_;         // the part of a line that has come
+  std::size_t left_ = 0;  // bytes of the body or chunk that are still to come
   std::string body_;
 };
 
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -12,27 +12,14 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kSettle{1'000};       // for discovery and the counter to answer after the start
-constexpr milliseconds kKeepServing{500};    // after SIGTERM new connections go on coming for a while
-constexpr milliseconds kStartCheck{20};      // between two looks whether clients can be let in
-constexpr milliseconds kStartAnyway{3'000};  // after which they are let in all the same
-constexpr milliseconds kLongestStop{
-    2'000};  // for a command that has begun to come; a client may take as long
-constexpr ops::Leaving kStopLeaving{milliseconds(0), milliseconds(800)};
+constexpr milliseconds kSettle{1'000};         // for discovery and the counter to answer after the start
+constexpr milliseconds kKeepServing{500};      // after SIGTERM new connections go on coming for a while
+constexpr milliseconds kStartCheck{20};        // between two looks whether clients can be let in
+constexpr milliseconds kStartAnyway{3'000};    // after which they are let in all the same
 constexpr milliseconds kStopCheck{20};         // between two looks whether all is answered
 constexpr milliseconds kRetireCheck{50};       // between two looks whether an old counter is done with
 constexpr std::chrono::seconds kKeysLine{10};  // between two lines about the store of keys
-constexpr std::size_t kOtherSockets =
-    16;  // log, loop, listener, discovery, counter and what the library holds
-constexpr std::size_t kDoorSockets = OpsDoor::kCallers + 1;
 constexpr std::size_t kBytesPerMb = 1 << 20;
-// Parts of the memory limit. A large command is copied once when it is taken, four megabytes at the most;
-// with the program's own eight and these parts all stays under the limit: docs/operations.md.
-constexpr std::size_t kLettersShare = 8;  // commands held for further attempts
-constexpr std::size_t kBodiesShare = 4;   // large ones, in reading and held
-constexpr std::size_t kPassingShare = 8;  // large values on their way, at both ends
-constexpr std::size_t kLeastWindow = 8 * 1024;
-constexpr std::size_t kMostWindow = 64 * 1024;
 
 resp::Vocabulary ToVocabulary(const Settings& settings) {
   resp::Vocabulary out;
@@ -56,21 +43,14 @@
   return config::ToPeers(config);
 }
 
-// With an inherited socket another process may stand beside this one: the limits are for both together, and
-// each keeps to half of them.
-std::size_t Processes(const config::Config& config) { return config.inherited ? 2 : 1; }
-std::size_t Memory(const config::Config& config) {
-  return config.memory_mb * kBytesPerMb / Processes(config);
+flow::Shares SharesOf(const config::Config& config) {
+  return flow::ToShares({.memory = config.memory_mb * kBytesPerMb,
+                         .sockets = config.sockets,
+                         .shared = config.inherited.has_value(),
+                         .has_door = config.ops.has_value(),
+                         .largest_command = resp::kMaxCommand});
 }
 
-std::size_t Sockets(const config::Config& config) {
-  return config.sockets / Processes(config) - kOtherSockets - (config.ops ? kDoorSockets : 0);
-}
-
-// A next hop's connection is used again and again, a client's may be new with each request and slow: five in
-// eight are for clients.
-std::size_t ClientSockets(const config::Config& config) { return Sockets(config) * 5 / 8; }
-
 }  // namespace
 
 Gatekeeper::Gatekeeper(event_base* base, const config::Config& config,
@@ -83,22 +63,22 @@
                 .demand = operators.demand,
                 .has_peers = PeersOf(config, operators).has_value()}),
       max_open_(config.max_open),
-      letters_(Memory(config) / kLettersShare),
-      bodies_(std::max(resp::kMaxCommand, Memory(config) / kBodiesShare)),
+      shares_(SharesOf(config)),
+      letters_(shares_.letters),
+      bodies_(shares_.bodies),
       tick_(base, [this] { Tick(); }),
       settle_(base, [this] { settled_ = true; }),
       start_(base, [this] { StartAccepting(); }),
-
       stop_(base, [this] { StopStage(); }),
       retire_(base, [this] { CloseRetired(); }),
       keys_(base, [this] { LogKeys(); }),
       pool_(base,
             {.dial_timeout = config.settings.dial_timeout,
              .idle = config.hop_idle,
-             .connections = Sockets(config) - ClientSockets(config)},
+             .connections = shares_.hops},
             *this),
-      sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings),
-                   ClientSockets(config), bodies_, *this) {
+      sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings), shares_.clients,
+                   bodies_, *this) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
@@ -151,7 +131,7 @@
 
 bool Gatekeeper::Drain() {
   const bool begins = !lifecycle_.draining();
-  if (!lifecycle_.Drain(Clock::now())) return false;
+  if (!lifecycle_.Drain()) return false;
   if (begins) {
     Log("drained", "by an operator's call");
     sender_side_.Leave(ops::kDrainLeaving);
@@ -200,8 +180,7 @@
   const std::optional<Held> held = Release(report.envelope);
   if (!held || held->recipient == nullptr) return Value::kNone;
   passing_.emplace(report.envelope, Passing{held->recipient, held->ticket, report.attempt, held->figures});
-  const std::size_t all = Memory(config_) / kPassingShare;
-  held->recipient->Begin(held->ticket, std::clamp(all / 2 / passing_.size(), kLeastWindow, kMostWindow));
+  held->recipient->Begin(held->ticket, shares_.Window(passing_.size()));
   // For the decisions the attempt has ended: what is left is the way to the client.
   Report(report);
   return Value::kPass;
@@ -445,14 +424,13 @@
   if (lifecycle_.stopping()) return;
   lifecycle_.Stop(Clock::now());
   Log("draining", "told to stop");
-  stopped_ = Clock::now();
   if (config_.inherited) {
     // The other processes that hold the socket accept; what comes on kept connections is served until each is
     // closed between two requests.
     start_.Disarm();
     sender_side_.LeaveInherited();
-    sender_side_.Leave(kStopLeaving);
-    return stop_.Arm(kStopLeaving.last + kStopCheck);
+    sender_side_.Leave(ops::kStopLeaving);
+    return stop_.Arm(ops::kStopLeaving.last + kStopCheck);
   }
   stop_.Arm(kKeepServing);
 }
@@ -464,16 +442,10 @@
   sender_side_.StartAccepting();
 }
 
-// After SIGTERM a command that has begun to come may end: by the longest deadline, which is what the platform
-// waits for before it kills, and no longer than it waits for any.
-Clock::time_point Gatekeeper::StopBy() const {
+void Gatekeeper::StopStage() {
   microseconds longest{0};
   for (const ClassSettings& cls : config_.settings.classes) longest = std::max(longest, cls.deadline);
-  return stopped_ + std::min<microseconds>(longest, kLongestStop);
-}
-
-void Gatekeeper::StopStage() {
-  sender_side_.Drain(StopBy());
+  sender_side_.Drain(lifecycle_.CommandsUntil(longest));
   if (sender_side_.empty()) {
     if (planner_.keeper() != nullptr) LogKeys();
     event_base_loopbreak(base_);
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -13,6 +13,7 @@
 
 #include "config/config.h"
 #include "flow/byte_budget.h"
+#include "flow/shares.h"
 #include "net/counter_client.h"
 #include "net/discovery_watch.h"
 #include "net/next_hop_pool.h"
@@ -106,7 +107,6 @@
   void NameClasses();
   void StopStage();
   void StartAccepting();
-  Clock::time_point StopBy() const;
   void DialCounter(const config::Address& address);
   void CloseRetired();
   void LogKeys();
@@ -116,6 +116,7 @@
   operator_file::OperatorFile operators_;
   planner::Planner planner_;
   std::size_t max_open_;
+  flow::Shares shares_;
   flow::ByteBudget letters_;  // commands held, but for the large ones
   flow::ByteBudget bodies_;   // large commands, in reading and held
   std::unordered_map<planner::EnvelopeNumber, Held> held_;
@@ -134,7 +135,6 @@
   bool settled_ = false;
   ops::Lifecycle lifecycle_;
   Clock::time_point started_ = Clock::now();
-  Clock::time_point stopped_;
   ops::Figures figures_;
   std::size_t ready_hops_ = 0;
   std::unordered_map<std::string, bool> hops_;  // by name: ready
--- a/src/net/ops_door.cpp
+++ b/src/net/ops_door.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config/sockets.h"
 #include "http/request.h"
 
 namespace postspread::net {
@@ -116,7 +117,7 @@
     const evutil_socket_t fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
     // Silent callers must not keep out a true one, which says at once what it wants.
-    if (callers_.size() >= kCallers) callers_.pop_front();
+    if (callers_.size() >= config::kDoorCallers) callers_.pop_front();
     callers_.push_back(std::make_unique<Caller>(*this, fd));
   }
 }
--- a/src/net/ops_door.h
+++ b/src/net/ops_door.h
@@ -14,9 +14,7 @@
 
 class OpsDoor {
  public:
-  // Callers held at once; where one more comes, the one that has been here longest goes.
-  static constexpr std::size_t kCallers = 12;
-
+  // Holds config::kDoorCallers at once; where one more comes, the one that has been here longest goes.
   // Throws std::runtime_error where the address can't be listened on.
   OpsDoor(event_base* base, const config::Address& listen, ops::Desk& desk);
   ~OpsDoor();
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -611,7 +611,6 @@
 }
 
 void SenderSide::Drain(Clock::time_point commands_until) {
-  draining_ = true;
   // Called again until nothing is owed: the listener is there the first time only. Without the check a
   // SIGTERM with an answer owed was a crash.
   if (listener_) {
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -110,7 +110,6 @@
   flow::ByteBudget& bodies_;  // what large commands are read under
   Intake& intake_;
   bool inherited_ = false;
-  bool draining_ = false;
   std::optional<Clock::time_point> leaving_;  // since when kept connections are being closed
   ops::Leaving leaving_plan_;
   Connections connections_;
--- a/src/ops/lifecycle.cpp
+++ b/src/ops/lifecycle.cpp
@@ -1,16 +1,23 @@
 #include "ops/lifecycle.h"
 
+#include <algorithm>
+
 namespace postspread::ops {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestCommand{2'000};
+
+}  // namespace
 
-bool Lifecycle::Drain(Clock::time_point now) {
+bool Lifecycle::Drain() {
   if (stopped_) return false;
-  if (!drained_) drained_ = now;
+  drained_ = true;
   return true;
 }
 
 bool Lifecycle::Activate() {
   if (stopped_) return false;
-  drained_.reset();
+  drained_ = false;
   return true;
 }
 
@@ -18,6 +25,11 @@
   if (!stopped_) stopped_ = now;
 }
 
+Lifecycle::Clock::time_point Lifecycle::CommandsUntil(std::chrono::microseconds longest_deadline) const {
+  return stopped_.value_or(Clock::time_point()) +
+         std::min<std::chrono::microseconds>(longest_deadline, kLongestCommand);
+}
+
 Lifecycle::State Lifecycle::state() const {
   if (stopped_) return State::kStopping;
   if (drained_) return State::kDraining;
--- a/src/ops/lifecycle.h
+++ b/src/ops/lifecycle.h
@@ -21,7 +21,7 @@
 
   // The operators' calls. Each may come at any time and again: a drain before the process is able holds once
   // it is. False where the process is stopping: nothing can be taken back then.
-  bool Drain(Clock::time_point now);
+  bool Drain();
   bool Activate();
   // SIGTERM. Once; there is no way back.
   void Stop(Clock::time_point now);
@@ -30,11 +30,14 @@
   // What PING and readyz say.
   bool serves() const { return state() == State::kServing; }
   bool stopping() const { return stopped_.has_value(); }
-  bool draining() const { return drained_.has_value(); }
+  bool draining() const { return drained_; }
+  // After Stop: until when a command that has begun to come may end. By the longest deadline, which is what
+  // the platform waits for before it kills, and by 2 s, which is what a client may take.
+  Clock::time_point CommandsUntil(std::chrono::microseconds longest_deadline) const;
 
  private:
   bool able_ = false;
-  std::optional<Clock::time_point> drained_;
+  bool drained_ = false;
   std::optional<Clock::time_point> stopped_;
 };
 
@@ -54,6 +57,9 @@
 // must be no idle connection and no request younger than 2 s.
 inline constexpr Leaving kDrainLeaving{std::chrono::milliseconds(320), std::chrono::milliseconds(1'500)};
 
+// With an inherited socket, after Stop: new clients go to the other process from the first moment.
+inline constexpr Leaving kStopLeaving{std::chrono::milliseconds(0), std::chrono::milliseconds(800)};
+
 }  // namespace postspread::ops
 
 #endif  // POSTSPREAD_OPS_LIFECYCLE_H_
--- a/tests/ops/ops_test.cpp
+++ b/tests/ops/ops_test.cpp
@@ -16,8 +16,8 @@
 TEST_CASE("one state of the process: what has come decides, in whichever order") {
   Lifecycle life;
   CHECK(life.state() == State::kStarting);
-  CHECK(life.Drain(kNow));  // before it is able: holds once it is
-  CHECK(life.Drain(kNow));
+  CHECK(life.Drain());  // before it is able: holds once it is
+  CHECK(life.Drain());
   life.SetAble(true);
   CHECK(life.state() == State::kDraining);
   CHECK(life.Activate());
@@ -25,11 +25,13 @@
   CHECK(life.serves());
   life.SetAble(false);
   CHECK_FALSE(life.serves());
-  CHECK(life.Drain(kNow));
+  CHECK(life.Drain());
   life.Stop(kNow);  // in mid-drain, and final
   CHECK_FALSE(life.Activate());
-  CHECK_FALSE(life.Drain(kNow));
+  CHECK_FALSE(life.Drain());
   CHECK(life.state() == State::kStopping);
+  CHECK(life.CommandsUntil(milliseconds(1'200)) == kNow + milliseconds(1'200));
+  CHECK(life.CommandsUntil(milliseconds(8'000)) == kNow + milliseconds(2'000));
 }
 
 TEST_CASE("kept connections are closed spread over the time, after new clients have ceased to come") {
