Never write an error into a value that is on its way

Found on reading the change once more: a client that sends what can't be read behind a request whose large value is being passed on got '-ERR failed' in the midst of the value after a second (SenderSide's GiveUpOwed answers every slot). Such a value goes on now, and the error follows it; what is owed behind it is given up as before. The test is red without the line.

--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -312,6 +312,8 @@
     for (std::size_t i = 0; i < owed; ++i) {
       const Ticket ticket = first + i;
       if (ticket < base_ticket_ || slots_[ticket - base_ticket_].ready) continue;
+      // A value on its way goes on: an answer written into it would be part of it.
+      if (ticket == base_ticket_ && slots_.front().in_pieces) continue;
       const std::optional<planner::EnvelopeNumber> number = slots_[ticket - base_ticket_].number;
       if (number) side_.intake_.SenderGone(*number);
       Fail(ticket, planner::FailReason::kFailed);
--- a/tests/flow/process_test.cpp
+++ b/tests/flow/process_test.cpp
@@ -97,6 +97,17 @@
     second.Send(Answer(value).substr(100'000));
     CHECK((client.Bytes(value.size()) == value));
   }
+  SECTION("garbage behind it costs what is owed after it, and nothing is written into it") {
+    first.Send(begun);
+    client.Send("garbage\r\n");
+    second.Command();
+    CHECK(second.Ended());  // the other request has been given up
+    first.Send(value.substr(200'000));
+    CHECK((client.Bytes(value.size()) == value));
+    CHECK(client.Line() == "-ERR failed\r\n");
+    CHECK(client.Line().find("-ERR Protocol error") == 0);
+    CHECK(client.Ended());
+  }
   SECTION("a client that goes takes the attempt along") {
     first.Send(begun);
     client.Close();
