Read true units and use from a next hop's answers, and settle each request by them

Change: figures are read from answers and error lines, bounded by MaxUnits, counted in svc_odd_use where unreadable.

--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -223,6 +223,7 @@
 }
 
 void Gatekeeper::AttemptEnded(const planner::AttemptReport& report, std::string_view value) {
+  figures_.odd_use += report.use.odd;
   if (report.result == planner::AttemptResult::kServed) {
     if (planner_.Keeps(report.envelope)) {
       planner::AttemptReport kept = report;
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -287,17 +287,16 @@
     using Kind = resp::Reply::Kind;
     AttemptResult result = AttemptResult::kError;
     planner::Load load;
+    planner::Use use;
     std::string_view value;
     if (reply.kind == Kind::kError) {
-      // "-BUSY", "-ERR failed": the load report may stand last, behind a space.
       const std::string_view word = reply.text.substr(0, reply.text.find(' '));
       if (word == "BUSY") {
         result = AttemptResult::kTurnedAway;
       } else if (word != "ERR") {
         return Malformed();
       }
-      const std::size_t space = reply.text.rfind(' ');
-      if (space != std::string_view::npos) load = resp::DecodeLoad(reply.text.substr(space + 1));
+      resp::DecodeErrorTail(reply.text, use, load);
     } else if (is_probe_ && (reply.kind == Kind::kBulk || reply.kind == Kind::kSimple)) {
       result = AttemptResult::kServed;
       load = resp::DecodeLoad(reply.text);
@@ -305,17 +304,19 @@
                reply.first_raw.front() == '$') {
       result = AttemptResult::kServed;
       value = reply.first_raw;
+      if (reply.count >= 2 && !reply.parts[1].null) use = resp::DecodeUse(reply.parts[1].text);
       if (reply.count >= 3 && !reply.parts[2].null) load = resp::DecodeLoad(reply.parts[2].text);
     } else {
       return Malformed();
     }
     timer_.Disarm();
     // `value` is a slice of what was read: it is consumed, and the connection free again, after the report.
-    Report(result, value, load);
+    Report(result, value, load, use);
     Free(reply.size);
   }
 
-  void Report(AttemptResult result, std::string_view value, const planner::Load& load) {
+  void Report(AttemptResult result, std::string_view value, const planner::Load& load,
+              const planner::Use& use = {}) {
     told_ = true;
     const auto elapsed = std::chrono::duration_cast<microseconds>(Clock::now() - begun_);
     if (is_probe_) {
@@ -328,7 +329,8 @@
                                   .next_hop = hop_.name,
                                   .result = result,
                                   .elapsed = elapsed,
-                                  .load = load},
+                                  .load = load,
+                                  .use = use},
                                  value);
   }
 
--- a/src/ops/figures.cpp
+++ b/src/ops/figures.cpp
@@ -57,7 +57,8 @@
        Gauge("members_unavailable", "Listed workers that are avoided now", levels.members_unavailable),
        Counter("config_reloads", "Configurations taken on at SIGHUP", figures.config_reloads),
        Counter("config_reload_errors", "Configurations turned down at SIGHUP",
-               figures.config_reload_errors)});
+               figures.config_reload_errors),
+       Counter("odd_use", "Answers whose figures on use could not be read", figures.odd_use)});
 }
 
 }  // namespace postspread::ops
--- a/src/planner/types.h
+++ b/src/planner/types.h
@@ -38,6 +38,13 @@
   double errors_per_second = -1.0;
 };
 
+// What an answer tells of its customer and of the request itself, where the settings have these figures.
+struct Use {
+  double percent = -1.0;  // of its rate, that the customer used over all gatekeepers of late; below 0: not told
+  double units = 0.0;     // true units of the request; 0: not told
+  bool odd = false;       // something under these names could not be read, and was skipped
+};
+
 // ---- Steps: to be carried out at once, in order.
 
 // Begins a delivery attempt. An envelope's attempts are numbered 0, 1, ... in the order of these steps.
@@ -117,6 +124,7 @@
   AttemptResult result = AttemptResult::kServed;
   std::chrono::microseconds elapsed{0};
   Load load{};
+  Use use{};
   std::string value{};  // with kServed, where Planner::Keeps the envelope's answer
 };
 
--- a/src/resp/request.cpp
+++ b/src/resp/request.cpp
@@ -168,4 +168,34 @@
   return load;
 }
 
+planner::Use DecodeUse(std::string_view text) {
+  planner::Use use;
+  while (!text.empty()) {
+    const std::string_view item = Next(text, ',');
+    const std::size_t equals = item.find('=');
+    if (equals == std::string_view::npos) continue;
+    const std::string_view name = item.substr(0, equals);
+    if (name != "used" && name != "cost") continue;
+    double value = 0;
+    if (!ToNumber(item.substr(equals + 1), value) || !std::isfinite(value) || value < 0) {
+      use.odd = true;
+    } else {
+      (name == "used" ? use.percent : use.units) = value;
+    }
+  }
+  return use;
+}
+
+void DecodeErrorTail(std::string_view line, planner::Use& use, planner::Load& load) {
+  Next(line, ' ');
+  while (!line.empty()) {
+    const std::string_view word = Next(line, ' ');
+    const planner::Use told = DecodeUse(word);
+    if (told.percent >= 0) use.percent = told.percent;
+    if (told.units > 0) use.units = told.units;
+    use.odd |= told.odd;
+    if (line.empty()) load = DecodeLoad(word);  // it stands last
+  }
+}
+
 }  // namespace postspread::resp
--- a/src/resp/request.h
+++ b/src/resp/request.h
@@ -61,6 +61,12 @@
 // The load report of an answer, or of the end of an error line. Fields that are not known are skipped.
 planner::Load DecodeLoad(std::string_view text);
 
+// The figures on use of an answer, such as `used=37,cost=4`. Other names are skipped.
+planner::Use DecodeUse(std::string_view text);
+
+// What stands in an error line behind its first word: the figures on use, the load report, both or neither.
+void DecodeErrorTail(std::string_view line, planner::Use& use, planner::Load& load);
+
 }  // namespace postspread::resp
 
 #endif  // POSTSPREAD_RESP_REQUEST_H_
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -330,7 +330,8 @@
   }
   int ops() const { return ops_; }
   // Plays the counter for one call; a total that lacked what was added before would be put right by another.
-  void Grant() {
+  // Returns the amount that was added.
+  double Grant() {
     const auto call = calls().Command();
     REQUIRE(call.size() == 4);
     CHECK(call[0] == "CNT.ADD");
@@ -338,6 +339,7 @@
     std::string answer;
     resp::AppendBulk(std::to_string(total_), answer);
     calls().Send(answer);
+    return std::stod(call[2]);
   }
   int Wait() {  // for the program to end; its exit code
     int status = -1;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -57,6 +57,30 @@
   }
 }
 
+TEST_CASE("true units that an answer tells are settled with the customer's next ask, once") {
+  Site site(1, {{"ops", ""}, {"settings", {{"Domain", {{"CostAfter", true}}}}}});
+  site.Start(1);
+  Peer client = site.Client();
+  std::optional<Peer> hop;
+  // The amount that the next request is counted with, which the hop then answers with `figures`.
+  const auto ask = [&](std::string_view id, const std::string& answer) {
+    client.Send(Read(id));
+    const double amount = site.Grant();
+    if (!hop) hop.emplace(site.hop(0).Accept());
+    hop->Command();
+    hop->Send(answer);
+    client.Line();
+    if (answer[0] == '*') client.Line();
+    return amount;
+  };
+  const std::string value = "*3\r\n$2\r\nhi\r\n", none = "$-1\r\n";
+  CHECK(ask("one", value + "$6\r\ncost=4\r\n" + none) == 1);
+  CHECK(ask("two", value + "$6\r\ncost=x\r\n" + none) == 4);  // 1, and 3 more of the first
+  CHECK(ask("three", value + "$7\r\ncost=99\r\n" + none) == 1);
+  CHECK(ask("four", value + none + none) == 1);
+  CHECK(site.Figure("svc_odd_use") == 1);
+}
+
 TEST_CASE("answers keep the order of their commands, whichever comes first") {
   Site site(1);
   site.Start(1);
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -211,6 +211,22 @@
   CHECK(load.errors_per_second < 0);
 }
 
+TEST_CASE("figures on use are read from answers and error lines, and odd ones skipped") {
+  const planner::Use use = DecodeUse("used=37,cost=4,new=1");
+  CHECK(use.percent == 37);
+  CHECK(use.units == 4);
+  CHECK_FALSE(use.odd);
+  const planner::Use odd = DecodeUse("used=-1,cost=nan,,cost");
+  CHECK((odd.percent < 0 && odd.units == 0 && odd.odd));
+  planner::Use told;
+  planner::Load load;
+  DecodeErrorTail("ERR failed used=140,cost=2 util=0.5", told, load);
+  CHECK((told.percent == 140 && told.units == 2 && load.utilization == 0.5));
+  planner::Use busy;
+  DecodeErrorTail("BUSY used=0", busy, load);
+  CHECK(busy.percent == 0);
+}
+
 std::string Bulk(std::size_t size) {
   std::string out;
   AppendBulk(std::string(size, 'v'), out);
