--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -3,7 +3,7 @@
 // A gateway embeds one Controller and tells it, in order, everything that happens (an Event with the time at
 // which it happened); the Controller answers with the actions to carry out, in order, at that same moment. It
 // reads no clock, does no I/O, keeps no globals, throws nothing on odd input, and gives the same actions for
-// the same settings, seed and events. All decisions are in src/control.cpp; this file holds types only.
+// the same settings, seed and events. All decisions are in src/policy/; this file holds types only.
 #ifndef POSTSPREAD_CONTROL_H_
 #define POSTSPREAD_CONTROL_H_
 
