--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -14,6 +14,8 @@
 constexpr int kAskFailures = 4;         // failed asks in a row after which the counter counts as down
 constexpr double kAskCut = 0.7;         // factor of the share of requests that ask, when an ask fails ...
 constexpr double kAskRise = 1.05;       // ... and when one is answered: settles where 1 in 8 fails
+constexpr double kAskEase = 0.9;   // ... or when its answer is slow: ...
+constexpr double kAskSlow = 0.33;  // ... this share of the longest that an ask may take
 constexpr double kAskLeast = 0.1;  // of that share: what still asks when all fail, to see the counter return
 constexpr double kDemandS = 30;    // s: how long a customer's demand is remembered; heavy ones stay so
 constexpr Duration kCheckBack{300'000};  // us between two asks that look whether the counter is back
@@ -60,7 +62,13 @@
         (e.result == CounterResult::kTimeout && e.elapsed + set_.tick >= set_.counter_timeout);
     const bool cut = crowded && call.asked >= cut_at_;
     if (cut) cut_at_ = now_;
-    if (ok || cut) ask_share_ = std::clamp(ask_share_ * (ok ? kAskRise : kAskCut), kAskLeast, 1.0);
+    // An answer that came slowly tells of a queue before calls run out of time in it: a counter that is slower than
+    // its calls then fails all of them, counts as down, and is crowded again as soon as it is asked again.
+    const Duration limit = std::min(set_.counter_timeout, FromSeconds(Seconds(max_aim_) * kAskShareOfAim));
+    const bool slow = ok && Seconds(e.elapsed) > kAskSlow * Seconds(limit);
+    if (ok || cut) {
+      ask_share_ = std::clamp(ask_share_ * (slow ? kAskEase : ok ? kAskRise : kAskCut), kAskLeast, 1.0);
+    }
     found->second.pop_front();
     if (found->second.empty()) calls_.erase(found);
     Customer* c = FindCustomer(call.customer);
