--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -178,6 +178,16 @@
   EXPECT_EQ(g.sends.size(), 1U);
 }
 
+// Waiting for four fifths of the aim's time left room for a usual answer only, and one in twelve came late:
+// the units were used, the work done and nothing earned.
+TEST(Quota, AWaitLeavesMoreThanHalfOfTheAimToBeServedIn) {
+  Gateway g;
+  g.Ask(1, 4);
+  g.Answer(14);  // room in 0.4 s of an aim of 0.8 s
+  while (g.answered < g.asks.size()) g.Answer(4);
+  EXPECT_EQ(g.refused.size(), 1U);
+}
+
 TEST(Quota, ALongWaitIsRefusedWithRetryAfterAndTakenBackOnTheNextAsk) {
   Gateway g;
   g.Ask(1, 4);
