--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -81,6 +81,38 @@
   CHECK(site.Figure("svc_odd_use") == 1);
 }
 
+TEST_CASE(
+    "where the settings allow no datagrams and no probes, nodes get requests alone and no port is bound") {
+  int number = 0;
+  const auto bind_peer = [&number] {
+    Socket out(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+    sockaddr_in address = Loopback(number);
+    socklen_t size = sizeof address;
+    REQUIRE(bind(out.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    getsockname(out.fd(), reinterpret_cast<sockaddr*>(&address), &size);
+    number = ntohs(address.sin_port);
+    return out;
+  };
+  bind_peer();  // a port that is free
+  const std::string peer = "127.0.0.1:" + std::to_string(number);
+  const bool may = GENERATE(false, true);  // the other way round it is bound: the look can tell
+  Site site(1,
+            {{"peer_listen", peer},
+             {"peers", {peer, "127.0.0.1:9"}},
+             {"settings", {{"Limits", {{"MayTell", may}}}, {"Domain", {{"MailPerS", 40}}}}}},
+            false, "demand { tell = true }");
+  site.Start(1);
+  site.Hold("one").Serve();
+  CHECK_FALSE(site.hop(0).Asked());
+  if (may) {
+    Socket other(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+    const sockaddr_in address = Loopback(number);
+    CHECK(bind(other.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0);
+  } else {
+    bind_peer();
+  }
+}
+
 TEST_CASE("answers keep the order of their commands, whichever comes first") {
   Site site(1);
   site.Start(1);
