Stop shedding while fewer attempts are out than in good times

The module's log: the shed share at 0.9 to 1.0 while 2 to 3 attempts were out where 4 are usual. Change: the share falls, as where servers report room, while fewer attempts are out than 1.4 times what is usual in good times.

--- a/src/bookkeeping/load_figures.h
+++ b/src/bookkeeping/load_figures.h
@@ -17,6 +17,8 @@
 constexpr double kBaseAnswers = 5;      // requests in memory: fewer tell nothing of service
 constexpr double kBaseDown = 0.1;       // a sweep: plain service follows a lull within a second
 constexpr double kBaseUp = 0.0005;      // a sweep: and is forgotten over minutes
+constexpr double kGoodLatency = 1.5;    // of plain service
+constexpr double kUsualOut = 0.01;      // a sweep: ten seconds of good times
 constexpr double kPlainDown = 0.1;      // weight of one answer in a class's plain time if it is faster ...
 constexpr double kPlainUp = 0.01;       // ... or slower: settles where about a tenth are faster
 constexpr double kLengthMost = 4;       // how much longer or shorter than the mean a class may count
@@ -113,15 +115,20 @@
   }
   // How much that says, 0 to 1.
   double Sure() const { return std::min(1.0, (answered_.sum + open_) / kBaseAnswers); }
-  // What service takes when nothing queues: follows lulls at once and forgets them slowly.
+  // What service takes when nothing queues: follows lulls at once and forgets them slowly. `shedding`: now is
+  // no good time to learn what is usual.
   double base() const { return base_latency_; }
-  void LearnBase() {
+  void LearnBase(bool shedding) {
     if (answered_.sum <= kBaseAnswers) return;
     const double latency = busy_.sum / answered_.sum;
     if (base_latency_ <= 0) base_latency_ = latency;
+    const bool good = !shedding && latency < kGoodLatency * base_latency_;
+    if (good) usual_out_ += (busy_.sum / MemoryS() - usual_out_) * kUsualOut;
     base_latency_ += (latency - base_latency_) * (latency < base_latency_ ? kBaseDown : kBaseUp);
     base_latency_ = std::min(base_latency_, kBaseMost * Seconds(max_aim_));
   }
+  // Whether this gateway has fewer attempts out than `share` of what it has in good times.
+  bool OutBelow(double share) { return busy_.sum < share * usual_out_ * MemoryS(); }
   double AnswersWithinTraffic() const { return rate_.sum; }
 
   // The sum of a figure of class and plan over the units of the traffic's mix, and those units.
@@ -142,6 +149,7 @@
   TimePoint open_at_{0};
   int open_ = 0;
   double base_latency_ = 0.0;
+  double usual_out_ = 0.0;             // attempts out in good times
   std::vector<double> class_latency_;  // s: the mean of late
   std::vector<double> class_plain_;    // s: the fast tenth or so
   std::vector<Fading> traffic_;
--- a/src/policy/load.h
+++ b/src/policy/load.h
@@ -10,6 +10,7 @@
 constexpr double kTilt = 2;             // how much more is shed of what is worth less than the mean
 constexpr double kShedGain = 0.1;       // of the excess pressure, a sweep: a second to answer a surge
 constexpr double kEaseOff = 0.1;        // of the share shed, a sweep: a second to let it go ...
+constexpr double kOutLow = 1.4;         // ... or this gateway has fewer out than this share of what is usual
 constexpr double kRoomReported = 0.75;  // ... where servers report less use than this on average
 constexpr double kShedNow = 2;          // of the pressure past the high mark: shed at once
 constexpr double kPressureHigh = 0.6;   // of that slack: above, more is shed at once, not by the gain
@@ -47,9 +48,11 @@
     double change = kShedGain * std::min(1.0, 1 / MemoryS()) * (worst - kPressureAim);
     // Where servers report room the share goes at once: a gateway that sheds gets few answers, its pressure
     // stays chance just below the aim, and by that alone hundreds shed for half a minute while servers idle.
-    if (ReportedBelow(kRoomReported)) change = std::min(change, -kEaseOff * shed_);
+    // So too where fewer are out than in good times: servers that all grew slower are no fuller for it, and
+    // what they take longer looks like a queue however much is shed.
+    if (ReportedBelow(kRoomReported) || OutBelow(kOutLow)) change = std::min(change, -kEaseOff * shed_);
     shed_ = std::clamp(shed_ + change, 0.0, 1.0);
-    LearnBase();
+    LearnBase(shed_ > 0);
   }
 
  private:
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -380,6 +380,31 @@
   EXPECT_LE(g.asks.size(), asked + 4);
 }
 
+// Servers that all took three times as long looked like a queue, and shedding made them no faster: nearly all
+// was refused while they held less than in good times.
+TEST(Overload, ServersThatAllGrewSlowerAreNotShedForBelowWhatTheyUsuallyHold) {
+  Settings settings = Gateway::Plain();
+  settings.has_counter = false;
+  settings.plans[0].rate = settings.plans[0].burst = 1e6;
+  Gateway g(settings);
+  std::multimap<TimePoint, std::pair<std::size_t, Duration>> out;  // by when the server answers
+  std::size_t sent = 0, sent_late = 0;
+  for (RequestId id = 1; id <= 3000; ++id) {  // 50 a second for a minute
+    const Duration takes = milliseconds(id < 1000 ? 100 : 330);
+    while (!out.empty() && out.begin()->first <= g.now) {
+      g.End(out.begin()->second.first, Outcome::kOk, 0, 0, out.begin()->second.second);
+      out.erase(out.begin());
+    }
+    g.Ask(id, 1, "safe", seconds(2));
+    for (; sent < g.sends.size(); ++sent) {
+      out.insert({g.now + takes, {sent, takes}});
+      sent_late += id > 2000;
+    }
+    g.Pass(milliseconds(20));
+  }
+  EXPECT_GT(sent_late, 250U);  // of 1000: as many as keep out what is usual; it was under 100
+}
+
 // A crowded counter turns some asks away: fewer requests ask, and each that does stands for the others, so
 // that totals still tell of all traffic.
 TEST(Outage, OnACrowdedCounterFewerAskAndEachStandsForMore) {
