Settle a request's true units once, whichever of its answers tell them

Need: with a second copy out, a node that tells cost in both answers had the difference counted twice (Quota::Back settled by each good answer; a test with two copies saw 5 units on the next ask where 3 are due). The protocol promises the figure with the first good answer only; what another platform's nodes do is not ours to trust.

--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -127,7 +127,9 @@
     Customer* c = FindCustomer(r.customer);
     if (c == nullptr) return;
     c->open = std::max(0, c->open - 1);
-    if (true_units > 0 && r.grant != Grant::kExcess && r.grant != Grant::kNone) Owe(*c, true_units - r.units);
+    if (true_units <= 0 || r.grant == Grant::kExcess || r.grant == Grant::kNone) return;
+    Owe(*c, true_units - r.units);
+    r.grant = Grant::kNone;  // settled: a second copy's answer, or a late one, tells the same again
   }
 
   void Sweep() {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -253,6 +253,29 @@
   }
 }
 
+// Whichever answers of a request tell its true units, they are settled once.
+TEST(Quota, TrueUnitsAreSettledOnceWhateverAnswersTellThem) {
+  Settings settings = Gateway::Plain();
+  settings.second_copies = true;
+  settings.can_cancel = false;
+  Gateway g(settings);
+  for (RequestId id = 1; id <= 200; ++id) {  // plain service of 50 ms
+    g.Ask(id, 0);
+    g.Answer(0);
+    g.Pass(milliseconds(50));
+    g.End(g.sends.size() - 1, Outcome::kOk);
+  }
+  const std::size_t first = g.sends.size();
+  g.Ask(1000, 1);
+  g.Answer(1);
+  g.Pass(milliseconds(250));
+  ASSERT_EQ(g.sends.size(), first + 2);  // silent: a copy went to the other
+  g.End(first + 1, Outcome::kOk, 1, 3);
+  g.End(first, Outcome::kOk, 0, 3);
+  g.Ask(1001, 1);
+  EXPECT_DOUBLE_EQ(g.asks.back().amount, 1 + 2);
+}
+
 // Each call for a unit or two that a guess was off cost as much as an ask: a call and a half a request.
 TEST(Quota, OnlyMuchThatIsOwedHasACallOfItsOwn) {
   for (const double cost : {3, 4}) {  // of a guess of 1 and a burst of 10
