Refuse settings with which nothing could be let in, by the key's name

Cause: DecodePlan and DecodeSettings checked classes and no plan. Change: an error that names the key and the plan.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -34,6 +34,9 @@
   out.price = NumberOr(from, "Pays", 1);
   out.excess_worth = NumberOr(from, "ExcessWorth", 0);
   out.excess_cost = NumberOr(from, "ExcessCost", 0);
+  if (out.rate < 0) Bad("member \"PerSecond\" of \"" + out.name + "\" is below 0");
+  // A store that holds nothing lets nothing in, and its period would have no length.
+  if (out.rate > 0 && out.burst <= 0) Bad("member \"Depth\" of \"" + out.name + "\" is not above 0");
   return out;
 }
 
@@ -49,7 +52,13 @@
       if (out.classes[i].name == cls.name) Bad("two classes are named \"" + cls.name + "\"");
     }
   }
-  for (const json& entry : Array(from, "Contracts")) out.plans.push_back(DecodePlan(entry));
+  for (const json& entry : Array(from, "Contracts")) {
+    PlanSettings plan = DecodePlan(entry);
+    for (const PlanSettings& other : out.plans) {
+      if (other.name == plan.name) Bad("two plans are named \"" + plan.name + "\"");
+    }
+    out.plans.push_back(std::move(plan));
+  }
   if (Find(from, "Zones") != nullptr) {
     for (const json& zone : Array(from, "Zones")) out.zones.push_back(ToText(zone, "Zones"));
   }
@@ -68,9 +77,12 @@
   const json& domain = Part(from, "Domain");
   out.has_counter = FlagOr(domain, "SharedCounter");
   out.counter_timeout = TimeOr(domain, "CountLimit");
+  // Each call would be out of time at once.
+  if (out.has_counter && out.counter_timeout.count() <= 0) Bad("member \"CountLimit\" is not above 0");
   out.counter_price = NumberOr(domain, "CallPrice", 0);
   out.cost_after = FlagOr(domain, "CostAfter");
   out.max_units = NumberOr(domain, "MaxUnits", 1);
+  if (out.max_units <= 0) Bad("member \"MaxUnits\" is not above 0");
   out.meter_period = TimeOr(domain, "MeterPeriod");
   out.mail_per_s = NumberOr(domain, "MailPerS", 0);
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -20,7 +20,7 @@
     "known":{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"10.1.0.18:6379","zone":"a",
       "type":"m2","group":3,"status":"Ready","weight":1.5,"since_ms":7,"later":1}]},
     "settings":{"Later":1,"Classes":[{"Name":"lookup","Aim":5,"HardLimit":9,"Effect":"safe"}],
-      "Contracts":[{"Name":"team","PerSecond":2,"Depth":8}],"Domain":{"SharedCounter":true},
+      "Contracts":[{"Name":"team","PerSecond":2,"Depth":8}],"Domain":{"SharedCounter":true,"CountLimit":30000},
       "Limits":{"ConnIdle":7000000}}})");
 }
 
@@ -106,6 +106,13 @@
   }
   const json cls = Sound()["settings"]["Classes"][0];
   CHECK(with("/settings/Classes", json::array({cls, cls})) == "settings: two classes are named \"lookup\"");
+  CHECK(with("/settings/Contracts/0/Depth", 0) == "settings: member \"Depth\" of \"team\" is not above 0");
+  CHECK(with("/settings/Contracts/0/PerSecond", -1) ==
+        "settings: member \"PerSecond\" of \"team\" is below 0");
+  CHECK(with("/settings/Contracts/1", Sound()["settings"]["Contracts"][0]) ==
+        "settings: two plans are named \"team\"");
+  CHECK(with("/settings/Domain/CountLimit", 0) == "settings: member \"CountLimit\" is not above 0");
+  CHECK(with("/settings/Domain/MaxUnits", 0) == "settings: member \"MaxUnits\" is not above 0");
   CHECK_THROWS_WITH(Load([](const char*) { return nullptr; }), "ROUTER_CONFIG is not set");
   CHECK_THROWS_WITH(Load([](const char*) { return "/nowhere"; }), "ROUTER_CONFIG: can't read /nowhere");
 }
