Take back a debt whose request has gone from its own period, and test what was not

Seen on reading the change once more: Quota::Answered lowered the deficit and the present count for a debt whose request had ended meanwhile, the same fault as with refused debts. By switching defences off one at a time: nothing failed without CostAfter's guard, the figures of an error line, the bound below 0, the settling of what is beyond a quota, refusing who is full while calls are slow, and the call for what was let in unasked. Change: such a debt goes the way of a refused one; a test for each of these. The meter's figure no longer goes to the module, which did nothing with it; answers beyond a quota are counted for operators instead (svc_over_quota_answers).

--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -224,6 +224,7 @@
 
 void Gatekeeper::AttemptEnded(const planner::AttemptReport& report, std::string_view value) {
   figures_.odd_use += report.use.odd;
+  figures_.over_quota_answers += config_.settings.meter_period.count() > 0 && report.use.percent > 100;
   if (report.result == planner::AttemptResult::kServed) {
     if (planner_.Keeps(report.envelope)) {
       planner::AttemptReport kept = report;
--- a/src/ops/figures.cpp
+++ b/src/ops/figures.cpp
@@ -56,8 +56,9 @@
        Gauge("members", "Workers in the list", levels.members),
        Gauge("members_unavailable", "Listed workers that are avoided now", levels.members_unavailable),
        Counter("config_reloads", "Configurations taken on at SIGHUP", figures.config_reloads),
-       Counter("config_reload_errors", "Configurations turned down at SIGHUP",
-               figures.config_reload_errors),
+       Counter("config_reload_errors", "Configurations turned down at SIGHUP", figures.config_reload_errors),
+       Counter("over_quota_answers", "Answers that told of a customer beyond its quota",
+               figures.over_quota_answers),
        Counter("odd_use", "Answers whose figures on use could not be read", figures.odd_use)});
 }
 
--- a/src/ops/figures.h
+++ b/src/ops/figures.h
@@ -24,6 +24,7 @@
   std::uint64_t upstream_requests = 0;  // attempts whose last byte has gone to a next hop's socket
   std::uint64_t config_reloads = 0;
   std::uint64_t config_reload_errors = 0;
+  std::uint64_t over_quota_answers = 0;  // told that their customer used more than its quota of late
   std::uint64_t odd_use = 0;  // answers whose figures on use could not be read
 
   ClassFigures& Of(std::string_view name) {
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -14,8 +14,6 @@
 // a final answer that leaves in time and arrives when the sender has given up.
 constexpr std::chrono::milliseconds kOnTheWay{10};
 
-constexpr double kMostUse = 1e6;  // percent: more is read as this much
-
 constexpr std::chrono::seconds kPodsFresh{1};  // how old the count of a pod's warm next hops may be
 
 FailReason ToReason(idempotency::FailReason reason) {
@@ -369,9 +367,6 @@
   out.load = ToLoad(report.load);
   // No request has more units than the settings say: what tells of more is as good as unreadable.
   if (settings_.cost_after && report.use.units <= settings_.max_units) out.true_units = report.use.units;
-  if (settings_.meter_period.count() > 0 && report.use.percent >= 0) {
-    out.metered = 1 + static_cast<std::int64_t>(std::min(report.use.percent, kMostUse));
-  }
   if (report.result == AttemptResult::kServed) open_.erase(report.envelope);
   out.final = !open_.contains(report.envelope);
   return out;
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -102,7 +102,10 @@
       }
     } else if (call.kind == CallKind::kDebt) {
       if (r != nullptr && r->stage == Stage::kAsking) return Debt(*r, *c, call, e.total);
-      Owe(*c, -call.amount);
+      NoteAhead(*c, call, e.total);
+      // Let in meanwhile it stands in the deficit already; ended, it goes the way of a refused debt.
+      r != nullptr ? void(c->deficit = std::max(0.0, c->deficit - call.amount))
+                   : void(c->refused += call.amount);
     }
     return {};
   }
@@ -192,9 +195,9 @@
     bool listed;  // the customer was known to ask for more than its rate
   };
 
-  // A client's repeat, and while asks fail any request, of a customer whose last total, refilled since,
-  // leaves no room within the max wait is refused without an ask. Guards the counter against floods and retry
-  // storms. Harm: take-backs of others are learnt late.
+  // A client's repeat, and while asks fail or come slowly any request, of a customer whose last total,
+  // refilled since, leaves no room within the max wait is refused without an ask. Guards the counter against
+  // floods and retry storms. Harm: take-backs of others are learnt late.
   bool KnownFull(const Request& r, Customer& c) {
     Refill(c);
     const PlanSettings& p = Plan(c.plan);
@@ -244,6 +247,7 @@
     next_check_ = now_ + kCheckBack;
     return true;
   }
+
   Verdict AskFailed(const Call& call, Customer* c, Request* r, CounterResult why) {
     if (std::exchange(failed_at_, now_) != now_ && ++ask_failures_ == kAskFailures) {
       down_since_ = now_;
@@ -347,11 +351,15 @@
     return until + FromSeconds(std::max(0.0, carry + total - p.burst) / p.rate);
   }
 
-  Verdict Debt(Request& r, Customer& c, const Call& call, double total) {
-    const Duration wait = DebtWait(c, call.period, total);
+  void NoteAhead(Customer& c, const Call& call, double total) {
     if (c.ahead != call.period) c.refused = 0;
     c.ahead = call.period;
     c.ahead_total = total;
+  }
+
+  Verdict Debt(Request& r, Customer& c, const Call& call, double total) {
+    const Duration wait = DebtWait(c, call.period, total);
+    NoteAhead(c, call, total);
     if (wait <= WaitLeft(r) && total <= Plan(c.plan).burst) return Wait(now_ + wait);
     c.refused += call.amount;
     return Refuse(std::max(wait, set_.tick));
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -253,6 +253,59 @@
   }
 }
 
+// So is the debt of a request whose client has gone before the counter answered it.
+TEST(Quota, ADebtOfARequestThatHasGoneIsTakenBackFromThePeriodItWasMovedTo) {
+  for (int offset = 0;; offset += 50) {
+    ASSERT_LT(offset, 1000);
+    Gateway g(Gateway::Plain(), seconds(1000) + milliseconds(offset));
+    g.Ask(1, 4);
+    g.Answer(13);
+    if (g.asks.size() < 2) continue;
+    g.Tell(ClientGoneEvent{1});
+    g.Answer(4);
+    g.Ask(2, 1);
+    ASSERT_EQ(g.asks[2].name, g.asks[0].name);
+    EXPECT_DOUBLE_EQ(g.asks[2].amount, 1 - 4);
+    return;
+  }
+}
+
+// While calls come back slowly, a customer known to be full is not asked for: it would take the place of one
+// that is not, and go by a slice where it finds none.
+TEST(Quota, WhileTheCounterIsSlowWhoIsKnownToBeFullIsRefusedWithoutAnAsk) {
+  Gateway g;
+  g.Ask(1, 4);
+  g.Tell(CounterEvent{g.asks[g.answered++].name, CounterResult::kOk, 40, milliseconds(25)});  // of 30 at most
+  const std::size_t asked = g.asks.size();
+  g.Ask(2, 4);
+  EXPECT_EQ(g.asks.size(), asked);
+  EXPECT_EQ(g.refused.size(), 2U);
+}
+
+// What others can't know of is told soon, however little: they would let in the same units again.
+TEST(Quota, WhatWasLetInUnaskedHasACallOfItsOwnFromAUnitOn) {
+  Gateway g;
+  g.Ask(1, 1);
+  g.Answer(0, CounterResult::kUnreachable);  // never added: let in by the slice
+  ASSERT_EQ(g.sends.size(), 1U);
+  g.Pass(seconds(2));
+  ASSERT_EQ(g.asks.size(), 2U);
+  EXPECT_DOUBLE_EQ(g.asks[1].amount, 1);
+}
+
+// What earns beyond a quota takes nothing from the store, so there is nothing to settle.
+TEST(Quota, WhatWasSentBeyondTheQuotaIsNotSettled) {
+  Settings settings = Gateway::Plain();
+  settings.plans[0].excess_worth = 0.3;
+  Gateway g(settings);
+  g.Ask(1, 1);
+  g.Answer(40);
+  ASSERT_EQ(g.sends.size(), 1U);
+  g.End(0, Outcome::kOk, 0, 4);
+  g.Ask(2, 1);
+  EXPECT_DOUBLE_EQ(g.asks.back().amount, 1 - 1);
+}
+
 // Whichever answers of a request tell its true units, they are settled once.
 TEST(Quota, TrueUnitsAreSettledOnceWhateverAnswersTellThem) {
   Settings settings = Gateway::Plain();
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -58,7 +58,11 @@
 }
 
 TEST_CASE("true units that an answer tells are settled with the customer's next ask, once") {
-  Site site(1, {{"ops", ""}, {"settings", {{"Domain", {{"CostAfter", true}}}}}});
+  const bool settles = GENERATE(true, false);
+  Site site(1, {{"ops", ""},
+                {"settings",
+                 {{"Domain", {{"CostAfter", settles}, {"MeterPeriod", settles ? 1'000'000 : 0}}},
+                  {"Limits", {{"MostTries", 1}}}}}});
   site.Start(1);
   Peer client = site.Client();
   std::optional<Peer> hop;
@@ -75,10 +79,11 @@
   };
   const std::string value = "*3\r\n$2\r\nhi\r\n", none = "$-1\r\n";
   CHECK(ask("one", value + "$6\r\ncost=4\r\n" + none) == 1);
-  CHECK(ask("two", value + "$6\r\ncost=x\r\n" + none) == 4);  // 1, and 3 more of the first
+  CHECK(ask("two", value + "$6\r\ncost=x\r\n" + none) == (settles ? 4 : 1));  // and 3 more of the first
   CHECK(ask("three", value + "$7\r\ncost=99\r\n" + none) == 1);
-  CHECK(ask("four", value + none + none) == 1);
-  CHECK(site.Figure("svc_odd_use") == 1);
+  CHECK(ask("four", "-ERR failed used=120,cost=y util=0.5\r\n") == 1);
+  CHECK(site.Figure("svc_odd_use") == 2);
+  CHECK(site.Figure("svc_over_quota_answers") == (settles ? 1 : 0));
 }
 
 TEST_CASE(
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -218,6 +218,8 @@
   CHECK_FALSE(use.odd);
   const planner::Use odd = DecodeUse("used=-1,cost=nan,,cost");
   CHECK((odd.percent < 0 && odd.units == 0 && odd.odd));
+  const planner::Use below = DecodeUse("used=5,cost=-4");
+  CHECK((below.percent == 5 && below.units == 0 && below.odd));
   planner::Use told;
   planner::Load load;
   DecodeErrorTail("ERR failed used=140,cost=2 util=0.5", told, load);
