--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -20,8 +20,7 @@
 constexpr double kDemandS = 30;    // s: how long a customer's demand is remembered; heavy ones stay so
 constexpr Duration kCheckBack{300'000};  // us between two asks that look whether the counter is back
 constexpr double kBookLeast = 0.25;      // of a burst: what is owed that is worth a call of its own
-constexpr double kWaitShare =
-    0.4;  // of the aim's time left: room for a slow answer, not only for a usual one
+constexpr double kWaitShare = 0.4;  // of the aim's time left: room for a slow answer, not just a usual one
 constexpr double kRepeatReserve = 0.35;  // of the burst: a repeat leaves it to first tries, still in time
 constexpr double kEaseShed = 2;          // of the share shed: where pressure lasts, the unasked go first
 constexpr double kChanceRetry = 0.1;     // of the aim: when one refused by chance may come, still in time
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -481,6 +481,55 @@
   EXPECT_GT(sent_late, 250U);  // of 1000: as many as keep out what is usual; it was under 100
 }
 
+// What is usually out is learnt in good times only: learnt in a queue, the queue would look usual and nothing
+// be shed.
+TEST(Overload, AQueueThatLastsIsShedForAndNeverTakenForUsual) {
+  Settings settings = Gateway::Plain();
+  settings.has_counter = false;
+  settings.plans[0].rate = settings.plans[0].burst = 1e6;
+  Gateway g(settings);
+  std::multimap<TimePoint, std::pair<std::size_t, Duration>> out;
+  std::size_t sent = 0, in_time = 0;
+  TimePoint free =
+      g.now;  // the servers end a request each 40 ms, which takes 100 ms in all where none queues
+  for (RequestId id = 1; id <= 7000; ++id) {
+    while (!out.empty() && out.begin()->first <= g.now) {
+      const auto [send, took] = out.begin()->second;
+      out.erase(out.begin());
+      in_time += id > 5000 && took <= milliseconds(500);  // well within the aim of 800 ms
+      g.End(send, Outcome::kOk, 0, 0, took);
+    }
+    g.Ask(id, 1, "safe", seconds(20));
+    for (; sent < g.sends.size(); ++sent) {
+      free = std::max(free, g.now) + milliseconds(40);
+      const Duration took = free - g.now + milliseconds(60);
+      out.insert({g.now + took, {sent, took}});
+    }
+    g.Pass(milliseconds(id <= 200 ? 100 : 20));  // 10 a second for 20 s, then 50 a second of 25 at most
+  }
+  EXPECT_GT(in_time, 500U);  // of 1000 that can be
+}
+
+// A class that must never run twice gets neither a copy nor a move from a server that says nothing, and is
+// not given up for it.
+TEST(Rules, AnUnsafeRequestStaysWithASilentServer) {
+  for (const bool copies : {true, false}) {
+    Settings settings = Gateway::Plain();
+    settings.second_copies = copies;
+    settings.plans[0].rate = 0;
+    settings.classes[1].key_ttl = seconds(60);  // means nothing where nobody drops repeats
+    Gateway g(settings);
+    g.Ask(1, 1, "unsafe", seconds(2));
+    g.Pass(milliseconds(1'500));
+    EXPECT_EQ(g.sends.size(), 1U);
+    EXPECT_TRUE(g.cancelled.empty());
+    EXPECT_TRUE(g.failed.empty() && g.refused.empty());
+    g.End(0, Outcome::kReset);
+    EXPECT_EQ(g.sends.size(), 1U);
+    EXPECT_EQ(g.failed.size(), 1U);
+  }
+}
+
 // A crowded counter turns some asks away: fewer requests ask, and each that does stands for the others, so
 // that totals still tell of all traffic.
 TEST(Outage, OnACrowdedCounterFewerAskAndEachStandsForMore) {
