--- /dev/null
+++ b/src/flow/mail_budget.h
@@ -0,0 +1,37 @@
+// One budget for all datagrams to other gatekeepers, whoever sends them: what the settings let a gatekeeper
+// take in a second, each may cause among the others, too. No sockets and no clock.
+//
+// Order of precedence: the view of the fleet, then the store of keys, then what is told of customers. Who
+// comes later leaves a part of the budget to those before it.
+#ifndef POSTSPREAD_FLOW_MAIL_BUDGET_H_
+#define POSTSPREAD_FLOW_MAIL_BUDGET_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace postspread::flow {
+
+enum class Mail : std::uint8_t { kFleet, kKeys, kDemand };
+
+class MailBudget {
+ public:
+  // `per_second`: datagrams that one gatekeeper takes in; 0: no bound is known, and none is kept.
+  explicit MailBudget(double per_second) : per_second_(per_second), tokens_(per_second) {}
+
+  // Whether a datagram to so many gatekeepers may go now. One to many may take more than is left, and then
+  // the next ones wait for it.
+  bool Take(Mail mail, std::size_t receivers, std::chrono::steady_clock::time_point now);
+  void SetPace(double per_second) { per_second_ = per_second; }
+  std::uint64_t held_back() const { return held_back_; }
+
+ private:
+  double per_second_;
+  double tokens_;
+  std::chrono::steady_clock::time_point filled_{};
+  std::uint64_t held_back_ = 0;
+};
+
+}  // namespace postspread::flow
+
+#endif  // POSTSPREAD_FLOW_MAIL_BUDGET_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "config/config.h"
+#include "membership/types.h"
 #include "net/gatekeeper.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -41,8 +42,26 @@
   return operator_file::Load(options.operator_path);
 }
 
+void CheckPlace(const char* key, const std::string& text) {
+  const std::optional<config::Address> address = config::Address::Parse(text);
+  if (address && address->get()->sa_family == AF_INET) return;
+  throw config::ConfigError(std::string(key) + " is \"" + text + "\": an IPv4 address and port are wanted");
+}
+
 // What neither file shows by itself.
 void CheckTogether(const config::Config& config, const operator_file::OperatorFile& operators) {
+  const postspread::membership::Limits& fleet = operators.fleet;
+  if (fleet.enabled) {
+    if (config.name.empty() || config.name.size() > postspread::membership::kMaxName) {
+      throw config::ConfigError("\"name\" is longer than the view of the fleet takes: 1 to 31 bytes");
+    }
+    for (const std::string& place : fleet.seeds) CheckPlace("fleet.seeds", place);
+    if (!fleet.listen.empty()) CheckPlace("fleet.listen", fleet.listen);
+    if (fleet.listen.empty() && !config::ToPeers(config)) {
+      throw config::ConfigError(
+          "fleet.enabled needs \"peer_listen\", \"peers\" and settings that allow messages, or fleet.listen");
+    }
+  }
   if (!operators.idempotency.enabled) return;
   for (const postspread::ClassSettings& cls : config.settings.classes) {
     if (cls.repeat != postspread::Repeat::kKeyed || operators.idempotency.keep >= cls.key_ttl) continue;
@@ -52,6 +71,24 @@
   config::ToPeers(config);
 }
 
+// Only in the build that tests use to see that they tell: the defence that the environment switches off.
+postspread::membership::Without Switched() {
+  using postspread::membership::Without;
+#ifdef POSTSPREAD_SWITCHES
+  const std::map<std::string, Without> words{{"refutation", Without::kRefutation},
+                                             {"lives", Without::kLives},
+                                             {"local-health", Without::kLocalHealth},
+                                             {"asking-again", Without::kAskingAgain},
+                                             {"order", Without::kOrder},
+                                             {"budget", Without::kBudget},
+                                             {"knocking", Without::kKnocking},
+                                             {"help", Without::kHelp}};
+  const char* word = Variable("POSTSPREAD_WITHOUT");
+  if (word != nullptr) return words.at(word);
+#endif
+  return Without::kNothing;
+}
+
 struct Program {
   const Options& options;
   std::optional<net::Gatekeeper> gatekeeper;
@@ -89,7 +126,7 @@
   const config::Config config = config::Load(Variable);
   const operator_file::OperatorFile operators = ReadOperatorFile(options);
   CheckTogether(config, operators);
-  program.gatekeeper.emplace(base.get(), config, operators);
+  program.gatekeeper.emplace(base.get(), config, operators, Switched());
   net::Log("started", config.name + " on " + config.listen.text());
   event_base_dispatch(base.get());
   net::Log("stopped", "all that was taken is answered");
--- /dev/null
+++ b/src/membership/fleet.cpp
@@ -0,0 +1,775 @@
+#include "membership/fleet.h"
+
+#include <algorithm>
+#include <bit>
+#include <set>
+#include <utility>
+
+namespace postspread::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kHelpAfterBeats = 2;  // without an answer others are asked to ask
+constexpr int kFailAfterBeats = 4;  // and then the member is suspected
+constexpr std::size_t kLooks = 3;
+constexpr std::size_t kSyncsABeat = 2;  // exchanges with others while views differ
+constexpr std::size_t kHelpers = 3;
+constexpr std::size_t kProbesInTrouble = 3;  // a period, for a while after a suspicion: faults come together
+constexpr int kTroublePeriods = 3;
+constexpr int kKnockBeats = 1;           // between two knocks at one member
+constexpr int kLeastKnocks = 5;          // in vain, before a death: the budget may have kept some back
+constexpr std::size_t kKnocksABeat = 2;  // so that many suspects do not use up the budget
+constexpr std::size_t kToldABeat = 2;    // members told of what is new
+constexpr std::size_t kToldAtLeave = 8;
+constexpr double kToldFactor = 1.2;  // times log2 of the members: how often a word is told by each
+constexpr int kToldOfFill = 2;
+constexpr std::size_t kRecent = 4;      // words that changed last go first where views differ
+constexpr std::size_t kMostWords = 24;  // in a datagram of 256 bytes are some 15; more are not sorted for
+constexpr int kMostHealth = 2;          // suspicions take up to three times as long
+constexpr int kDeafPeriods = 2;
+constexpr int kDeafAsks = 3;
+constexpr int kAsksLive = 2;  // periods after which an answer is none any more
+constexpr std::size_t kMaxRelays = 64;
+constexpr int kFallsFree = 2;  // deaths denied before the next suspicion takes longer
+constexpr int kMostFalls = 5;
+constexpr int kFallPeriods = 60;  // after which one is forgiven
+constexpr int kUnsettledPeriods = 3;
+constexpr std::size_t kDiffered = 8;  // pairs of hashes remembered, so that a lasting difference is quiet
+// Of the datagrams that may be sent, what must be left for those that go before them.
+constexpr double kLeft[] = {0, 0.15, 0.3, 0.5};      // by Rank
+constexpr milliseconds kFutureLife{24 * 3'600'000};  // clocks of one fleet do not differ by more
+constexpr std::uint32_t kMostIncarnation = (1U << 30) - 1;
+constexpr milliseconds kNoteEvery{10'000};
+
+std::uint16_t Spot(std::uint64_t digest) { return static_cast<std::uint16_t>(digest >> 48); }
+
+}  // namespace
+
+Fleet::Fleet(Self self, std::vector<Place> seeds, const Limits& limits, std::uint64_t seed, TimePoint now,
+             Without without)
+    : self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      limits_(limits),
+      without_(without),
+      random_(seed),
+      fleet_(DigestFleet(limits.name)),
+      tokens_(limits.datagrams_per_second),
+      filled_(now) {
+  std::erase(seeds_, self_.place);
+  own_.name = self_.name;
+  own_.digest = DigestMember(self_.name, 0);
+  own_.place = self_.place;
+  own_.since = now;
+  next_number_ = random_() >> 24;
+  last_answer_ = now;
+  // Apart from the others that were started at the same moment.
+  next_beat_ =
+      now + Duration(static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(Beat().count())));
+  by_digest_.push_back(&own_);
+  TellOfSelf();
+  Count(PartOf(own_.digest), 0, Share(own_));
+}
+
+void Fleet::SetLimits(const Limits& limits) {
+  const std::string name = limits_.name;
+  limits_ = limits;
+  limits_.name = name;
+}
+
+// ---- What is sent, within the budget ----
+
+void Fleet::Refill(TimePoint now) {
+  if (now <= filled_) return;
+  const double seconds = std::chrono::duration<double>(now - filled_).count();
+  tokens_ = std::min(limits_.datagrams_per_second, tokens_ + seconds * limits_.datagrams_per_second);
+  filled_ = now;
+}
+
+bool Fleet::MaySend(Rank rank) {
+  if (without_ == Without::kBudget) return true;
+  if (tokens_ < 1 + kLeft[static_cast<std::size_t>(rank)] * limits_.datagrams_per_second) {
+    ++counts_.held_back;
+    return false;
+  }
+  tokens_ -= 1;
+  return true;
+}
+
+bool Fleet::Send(Place to, Rank rank, const Draft& draft) {
+  if (superseded_ || !MaySend(rank)) return false;
+  Message head;
+  head.kind = draft.kind;
+  head.number = draft.number;
+  head.view = static_cast<std::uint32_t>(hash_);
+  head.from = draft.from;
+  if (draft.kind == Kind::kExchange) head.parts = Parts();
+  head.sender = {self_.name, 0, own_.word, true};
+  if (draft.target != nullptr)
+    head.target = {draft.target->name, draft.target->place, draft.target->word, false};
+  Writer writer(fleet_, head, limits_.datagram);
+  if (draft.about != nullptr) writer.Add(draft.about->name, draft.about->place, draft.about->word, false);
+  if (draft.news && !queue_.empty()) {
+    // Those told least often first: what is new goes out at once however much is on its way.
+    if (without_ != Without::kOrder) {
+      const auto most = static_cast<std::ptrdiff_t>(std::min(queue_.size(), kMostWords));
+      std::partial_sort(queue_.begin(), queue_.begin() + most, queue_.end(),
+                        [](const Known* a, const Known* b) { return a->told < b->told; });
+    }
+    for (Known* known : queue_) {
+      if (known == draft.about) continue;
+      if (!writer.Add(known->name, known->place, known->word, true)) break;
+      ++known->told;
+    }
+    std::erase_if(queue_, [most = MostTold()](Known* k) {
+      if (k->told < most) return false;
+      k->queued = false;
+      return true;
+    });
+  }
+  if (draft.fill) {
+    const std::uint16_t next = Fill(writer, *draft.fill, draft.unlike);
+    if (draft.kind != Kind::kAck) fill_from_ = next;
+  }
+  out_.push_back({to, std::move(writer).Seal()});
+  ++counts_.sent;
+  counts_.bytes_sent += out_.back().bytes.size();
+  return true;
+}
+
+// Adds words on members in the order of their digests, and round again; returns where it came to.
+std::uint16_t Fleet::Fill(Writer& writer, std::uint16_t from, const PartHashes* unlike) {
+  Refresh();
+  for (const Known* known : recent_) writer.Add(known->name, known->place, known->word, false);
+  auto at = std::lower_bound(by_digest_.begin(), by_digest_.end(), from,
+                             [](const Known* k, std::uint16_t spot) { return Spot(k->digest) < spot; });
+  const PartHashes own = Parts();
+  for (std::size_t i = 0; i < by_digest_.size(); ++i, ++at) {
+    if (at == by_digest_.end()) at = by_digest_.begin();
+    const std::size_t part = PartOf((*at)->digest);
+    if (unlike != nullptr && (*unlike)[part] == own[part]) continue;
+    if (!writer.Add((*at)->name, (*at)->place, (*at)->word, false)) return Spot((*at)->digest);
+  }
+  return from;
+}
+
+bool Fleet::Ping(Purpose purpose, Place to, const Known* whom, TimePoint now, const Ask* relay) {
+  const bool exchange = purpose == Purpose::kSync || purpose == Purpose::kLook;
+  Draft draft;
+  draft.kind = exchange ? Kind::kExchange : Kind::kPing;
+  draft.number = next_number_;
+  draft.about = whom;
+  const std::size_t want = next_number_ % want_from_.size();
+  if (Differed(now)) draft.fill = fill_from_;
+  if (exchange) draft.from = want_from_[want];
+  constexpr Rank kRanks[] = {Rank::kAsk, Rank::kKnock, Rank::kAsk, Rank::kKnock, Rank::kNews, Rank::kAnswer};
+  const Rank rank = kRanks[static_cast<std::size_t>(purpose)];
+  if (!Send(to, rank, draft)) return false;
+  Ask ask;
+  if (relay != nullptr) ask = *relay;
+  ask.purpose = purpose;
+  if (whom != nullptr) ask.name = whom->name;
+  ask.place = to;
+  ask.at = now;
+  ask.want = want;
+  asks_.emplace(next_number_++, std::move(ask));
+  // A place that nobody may stand at is no sign of anything.
+  if (purpose != Purpose::kLook && purpose != Purpose::kRelay) ++unanswered_;
+  return true;
+}
+
+// Others are asked to ask for it: the way between the two of us may be what is broken.
+void Fleet::AskFor(const Known& member, std::size_t helpers, TimePoint now) {
+  if (without_ == Without::kHelp) return;
+  for (const Known* helper : Several(helpers, member.name)) {
+    Draft draft;
+    draft.kind = Kind::kAskFor;
+    draft.number = next_number_;
+    draft.target = &member;
+    if (!Send(helper->place, member.accused ? Rank::kKnock : Rank::kAsk, draft)) return;
+    asks_.emplace(next_number_++, Ask{Purpose::kHelp, member.name, helper->place, now});
+    ++unanswered_;
+  }
+}
+
+void Fleet::Tell(Known& member, int told) {
+  member.told = told;
+  if (member.queued) return;
+  member.queued = true;
+  queue_.push_back(&member);
+}
+
+void Fleet::TellOfSelf() {
+  own_.word.life = self_.life;
+  Tell(own_, 0);
+}
+
+// How often a word is told on. Where there are more than fit into a datagram or two, others tell them as well
+// and exchanges find what is missing: they would else be told for longer than they are new.
+int Fleet::MostTold() {
+  Refresh();
+  const double most = kToldFactor * static_cast<double>(std::bit_width(living_.size() + 1)) + 2;
+  const double crowd = std::max(1.0, static_cast<double>(queue_.size()) / kMostWords);
+  return std::max(2, static_cast<int>(most / crowd));
+}
+
+// ---- Members ----
+
+Fleet::Known* Fleet::Find(std::string_view name) {
+  const auto found = members_.find(name);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+void Fleet::Erase(const std::string& name) {
+  const auto found = members_.find(name);
+  if (found == members_.end()) return;
+  std::erase(queue_, &found->second);
+  std::erase(by_digest_, &found->second);
+  stale_ = lost_stale_ = true;
+  // Asked again for ever: the other side of a cut may come back after any time.
+  if (found->second.word.state == State::kDead) {
+    if (former_.size() >= kMaxMembers) former_.pop_front();
+    former_.push_back(found->second.place);
+  }
+  members_.erase(found);
+}
+
+bool Fleet::MakeRoom() {
+  if (members_.size() + 1 < kMaxMembers) return true;
+  const Known* oldest = nullptr;
+  for (const auto& [name, known] : members_) {
+    if (!Lives(known.word.state) && (oldest == nullptr || known.since < oldest->since)) oldest = &known;
+  }
+  if (oldest == nullptr) return false;
+  Erase(std::string(oldest->name));
+  return true;
+}
+
+// What is looked up often, made anew after a change of who lives or where.
+void Fleet::Refresh() {
+  if (!std::exchange(stale_, false)) return;
+  living_.clear();
+  for (auto& [name, known] : members_) {
+    if (Lives(known.word.state)) living_.push_back(&known);
+  }
+  recent_ = by_digest_;
+  const auto most = static_cast<std::ptrdiff_t>(std::min(recent_.size(), kRecent));
+  std::partial_sort(recent_.begin(), recent_.begin() + most, recent_.end(),
+                    [](const Known* a, const Known* b) { return a->since > b->since; });
+  recent_.resize(static_cast<std::size_t>(most));
+}
+
+const std::vector<Place>& Fleet::Lost() {
+  if (!std::exchange(lost_stale_, false)) return lost_;
+  std::set<Place> taken{self_.place};
+  std::set<Place> lost(seeds_.begin(), seeds_.end());
+  lost.insert(former_.begin(), former_.end());
+  for (const auto& [name, known] : members_) {
+    if (Lives(known.word.state)) taken.insert(known.place);
+    if (known.word.state == State::kDead) lost.insert(known.place);
+  }
+  lost_.clear();
+  std::set_difference(lost.begin(), lost.end(), taken.begin(), taken.end(), std::back_inserter(lost_));
+  return lost_;
+}
+
+// A member's part of the hash: nothing where it does not live.
+std::uint64_t Fleet::Share(const Known& member) const {
+  return Lives(member.word.state) ? DigestMember(member.name, member.word.life) : 0;
+}
+
+void Fleet::Count(std::size_t part, std::uint64_t before, std::uint64_t after) {
+  if (before == after) return;
+  hash_ ^= before ^ after;
+  parts_[part] ^= before ^ after;
+  ++counts_.view_changes;
+}
+
+PartHashes Fleet::Parts() const {
+  PartHashes out;
+  std::transform(parts_.begin(), parts_.end(), out.begin(),
+                 [](std::uint64_t p) { return static_cast<std::uint16_t>(p); });
+  return out;
+}
+
+State Fleet::StateOf(const Known& known) const {
+  return known.accused && known.word.state == State::kAlive ? State::kSuspect : known.word.state;
+}
+
+std::vector<Fleet::Known*> Fleet::Several(std::size_t count, std::string_view except) {
+  Refresh();
+  std::vector<Known*> out;
+  for (Known* known : living_) {
+    if (!known->accused && known->name != except) out.push_back(known);
+  }
+  for (std::size_t i = 0; i < out.size() && i < count; ++i)
+    std::swap(out[i], out[i + Random(out.size() - i)]);
+  out.resize(std::min(out.size(), count));
+  return out;
+}
+
+View Fleet::view() const {
+  View out{counts_.view_changes, hash_, {}};
+  out.members.push_back({own_.name, own_.place, own_.word, own_.since});
+  for (const auto& [name, known] : members_) {
+    out.members.push_back({name, known.place, known.word, known.since});
+    out.members.back().word.state = StateOf(known);
+  }
+  std::sort(out.members.begin(), out.members.end(),
+            [](const Member& a, const Member& b) { return a.name < b.name; });
+  return out;
+}
+
+std::optional<Word> Fleet::At(Place place) const {
+  std::optional<Word> out;
+  for (const auto& [name, known] : members_) {
+    if (known.place != place || (out && out->life >= known.word.life)) continue;
+    out = known.word;
+    out->state = StateOf(known);
+  }
+  return out;
+}
+
+void Fleet::Become(Known& member, const Word& word, bool by_self, bool news, TimePoint now) {
+  const std::uint64_t share = member.word.life == 0 ? 0 : Share(member);
+  const State state = StateOf(member);
+  const Word before = std::exchange(member.word, word);
+  const bool is_new = before.life != word.life;
+  if (is_new) member.falls = 0;
+  if (!is_new && before.state == State::kDead && word.state == State::kAlive) {
+    member.falls = std::min(member.falls + 1, kMostFalls);
+    member.fell_at = now;
+  }
+  member.accused = false;
+  // What only filled a datagram is known to many: a change is told on a little, and the rest is left to
+  // filling.
+  if (news) {
+    Tell(member, 0);
+  } else if (before.life != 0) {
+    Tell(member, std::max(0, MostTold() - kToldOfFill));
+  }
+  if (!is_new && before.state == word.state) return;
+  member.since = now;
+  changes_.push_back({member.name, word.life, state, word.state, is_new, by_self});
+  Count(PartOf(member.digest), share, Share(member));
+  stale_ = lost_stale_ = true;
+}
+
+// ---- What is said of members ----
+
+void Fleet::Hear(const Entry& entry, bool direct, Place from, TimePoint now) {
+  if (entry.word.life == 0) {
+    ++counts_.unreadable;
+    return;
+  }
+  if (entry.name == self_.name) return HearOfSelf(entry, now);
+  if (milliseconds(entry.word.life) > std::chrono::duration_cast<milliseconds>(now) + kFutureLife) {
+    ++counts_.future;
+    return;
+  }
+  Known* known = Find(entry.name);
+  if (known == nullptr) {
+    if (!MakeRoom()) {
+      ++counts_.no_room;
+      return;
+    }
+    known = &members_[entry.name];
+    known->name = entry.name;
+    known->digest = DigestMember(entry.name, 0);
+    known->place = direct ? from : entry.place;
+    // Below any word, so that whatever is said holds.
+    by_digest_.insert(std::upper_bound(by_digest_.begin(), by_digest_.end(), known,
+                                       [](const Known* a, const Known* b) { return a->digest < b->digest; }),
+                      known);
+    return Become(*known, entry.word, false, entry.news, now);
+  }
+  Word word = entry.word;
+  if (without_ == Without::kLives) word.life = known->word.life;
+  const bool newer_life = word.life > known->word.life;
+  if (direct && word.life < known->word.life && from != known->place && Lives(known->word.state)) {
+    ++counts_.name_conflicts;
+    Note("two processes are named \"" + known->name + "\": the one started later counts", now);
+  }
+  if (!(known->word < word)) return;
+  if (direct || newer_life) known->place = direct ? from : entry.place;
+  Become(*known, word, false, entry.news, now);
+}
+
+void Fleet::HearOfSelf(const Entry& entry, TimePoint now) {
+  if (left_) return;
+  if (entry.word.life > self_.life) {
+    if (entry.place != self_.place) {
+      ++counts_.name_conflicts;
+      return Note("another process is named \"" + self_.name + "\", as this one is, and was started later",
+                  now);
+    }
+    if (milliseconds(entry.word.life) > std::chrono::duration_cast<milliseconds>(now) + kFutureLife) {
+      ++counts_.future;
+      return;
+    }
+    if (self_.may_be_succeeded) {
+      if (!std::exchange(superseded_, true))
+        Note("a later process has taken over the view of the fleet", now);
+      return;
+    }
+    // Nobody else stands here: it is what an earlier start of ours left, on a clock that was ahead.
+    self_.life = entry.word.life + 1;
+    const std::uint64_t share = Share(own_);
+    own_.word = {self_.life, 0, State::kAlive};
+    ++counts_.own_refutations;
+    TellOfSelf();
+    return Count(PartOf(own_.digest), share, Share(own_));
+  }
+  if (entry.word.life < self_.life || !(own_.word < entry.word)) return;
+  if (without_ == Without::kRefutation) return;
+  if (entry.word.incarnation >= kMostIncarnation) {
+    const std::uint64_t share = Share(own_);
+    own_.word = {++self_.life, 0, State::kAlive};
+    Count(PartOf(own_.digest), share, Share(own_));
+  } else {
+    own_.word.incarnation = entry.word.incarnation + 1;
+  }
+  ++counts_.own_refutations;
+  if (without_ != Without::kLocalHealth) health_ = std::min(health_ + 1, kMostHealth);
+  TellOfSelf();
+}
+
+// ---- Datagrams that come ----
+
+bool Fleet::Received(Place from, std::string_view bytes, TimePoint now) {
+  Message message;
+  const Fault fault = Read(bytes, fleet_, message);
+  if (fault == Fault::kNotOurs) return false;
+  ++counts_.received;
+  if (fault != Fault::kNone) {
+    ++(fault == Fault::kForeign  ? counts_.foreign
+       : fault == Fault::kFuture ? counts_.future
+                                 : counts_.unreadable);
+    return true;
+  }
+  Refill(now);
+  if (superseded_) return true;
+  const Known* before = Find(message.sender.name);
+  const bool former =
+      without_ != Without::kLives && before != nullptr && message.sender.word.life < before->word.life;
+  if (former && from == before->place) {
+    ++counts_.former_life;
+    return true;
+  }
+  // What a process that is not the one of its name says of others counts still: it may see more than we do.
+  Hear(message.sender, true, from, now);
+  for (const Entry& entry : message.entries) Hear(entry, false, from, now);
+  const bool differs = Differs(message.view, now);
+  switch (message.kind) {
+    case Kind::kPing:
+    case Kind::kExchange:
+      TakePing(from, message, differs, now);
+      break;
+    case Kind::kAskFor:
+      TakeAskFor(from, message, now);
+      break;
+    case Kind::kAck:
+    case Kind::kNack:
+      TakeAnswer(from, message, now);
+      break;
+    case Kind::kGossip:
+      break;
+  }
+  Known* sender = Find(message.sender.name);
+  // One that sends, and of whom worse is said, is told so at once: only itself can deny it.
+  if (sender != nullptr && !former && sender->word.state == State::kDead &&
+      now - sender->informed_at >= Beat()) {
+    sender->informed_at = now;
+    Ping(Purpose::kLook, from, sender, now);
+  }
+  return true;
+}
+
+// Whether the sender's view differs; where that is new, more is told for a while.
+bool Fleet::Differs(std::uint32_t view, TimePoint now) {
+  const auto own = static_cast<std::uint32_t>(hash_);
+  if (view == own) return false;
+  differed_at_ = now;
+  const std::pair<std::uint32_t, std::uint32_t> pair{own, view};
+  if (std::find(differed_.begin(), differed_.end(), pair) == differed_.end()) {
+    if (differed_.size() >= kDiffered) differed_.pop_front();
+    differed_.push_back(pair);
+    unsettled_until_ = now + kUnsettledPeriods * Duration(limits_.period);
+  }
+  return true;
+}
+
+// Lately, be it for the same reason as long before.
+bool Fleet::Differed(TimePoint now) const {
+  return differed_at_.count() != 0 && now - differed_at_ < kUnsettledPeriods * Duration(limits_.period);
+}
+
+void Fleet::TakePing(Place from, const Message& message, bool differs, TimePoint now) {
+  Draft draft;
+  draft.kind = Kind::kAck;
+  draft.number = message.number;
+  // Worse is said of the sender than it says itself: it hears so first.
+  const Known* sender = Find(message.sender.name);
+  if (sender != nullptr && sender->word > message.sender.word) draft.about = sender;
+  if (differs || Differed(now)) draft.fill = message.kind == Kind::kExchange ? message.from : fill_from_;
+  if (message.kind == Kind::kExchange) draft.unlike = &message.parts;
+  Send(from, message.kind == Kind::kPing ? Rank::kAnswer : Rank::kKnock, draft);
+}
+
+void Fleet::TakeAskFor(Place from, const Message& message, TimePoint now) {
+  const auto relays = std::count_if(asks_.begin(), asks_.end(),
+                                    [](const auto& a) { return a.second.purpose == Purpose::kRelay; });
+  if (static_cast<std::size_t>(relays) >= kMaxRelays || message.target.name == self_.name) return;
+  const Known* known = Find(message.target.name);
+  const Ask relay{Purpose::kRelay, message.target.name, 0, now, from, message.number};
+  Ping(Purpose::kRelay, known != nullptr ? known->place : message.target.place, known, now, &relay);
+}
+
+void Fleet::TakeAnswer(Place from, const Message& message, TimePoint now) {
+  const auto found = asks_.find(message.number);
+  if (found == asks_.end() || (found->second.purpose != Purpose::kHelp && found->second.place != from)) {
+    ++counts_.unasked;
+    return;
+  }
+  const Ask ask = found->second;
+  asks_.erase(found);
+  last_answer_ = now;
+  unanswered_ = 0;
+  if (message.kind == Kind::kNack) {
+    for (Probe& probe : probes_) probe.heard = probe.heard || probe.name == ask.name;
+    return;
+  }
+  if (message.entries.size() > 1 && (ask.purpose == Purpose::kSync || ask.purpose == Purpose::kLook)) {
+    want_from_[ask.want] = Spot(DigestMember(message.entries.back().name, 0));
+  }
+  // The one asked for has answered, and not whoever else stands at its place now.
+  Known* known = Find(ask.name);
+  const bool itself =
+      ask.purpose == Purpose::kHelp ||
+      (message.sender.name == ask.name && (known == nullptr || message.sender.word.life >= known->word.life));
+  if (!itself) return;
+  if (ask.purpose == Purpose::kRelay) {
+    Draft draft;
+    draft.kind = Kind::kAck;
+    draft.number = ask.for_number;
+    draft.about = known;
+    Send(ask.for_place, Rank::kAnswer, draft);
+    return;
+  }
+  if (ask.purpose == Purpose::kProbe) health_ = std::max(health_ - 1, 0);
+  for (Probe& probe : probes_) probe.answered = probe.answered || probe.name == ask.name;
+  if (known == nullptr || !known->accused) return;
+  known->accused = false;
+  known->since = now;
+  ++counts_.suspicions_refuted;
+  changes_.push_back({known->name, known->word.life, State::kSuspect, State::kAlive, false, true});
+}
+
+// ---- In turn ----
+
+bool Fleet::Deaf(TimePoint now) const {
+  return unanswered_ >= kDeafAsks && now - last_answer_ > kDeafPeriods * Duration(limits_.period);
+}
+
+void Fleet::Tick(TimePoint now) {
+  if (now < next_beat_) return;
+  Refill(now);
+  Refresh();
+  // Called late, we stood still and not the others: what they could not say meanwhile is not held against
+  // them.
+  const Duration late = now - next_beat_;
+  if (late > Beat() && without_ != Without::kLocalHealth) {
+    last_answer_ += late;
+    for (Probe& probe : probes_) probe.at += late;
+    for (auto& [number, ask] : asks_) ask.at += late;
+    for (Known* known : living_) known->accused_at += late;
+  }
+  if (beat_ == 0) BeginPeriod(now);
+  Probing(now);
+  Knocking(now);
+  Gossip(now);
+  Expire(now);
+  beat_ = (beat_ + 1) % kBeats;
+  next_beat_ = now + Beat();
+  // Nothing under way: the next period is soon enough.
+  const bool quiet =
+      queue_.empty() && probes_.empty() && !Unsettled(now) && !living_.empty() &&
+      std::none_of(living_.begin(), living_.end(), [](const Known* k) { return k->accused; }) &&
+      std::none_of(asks_.begin(), asks_.end(),
+                   [](const auto& a) { return a.second.purpose == Purpose::kRelay; });
+  if (quiet && beat_ != 0) {
+    next_beat_ = now + (kBeats - beat_ + 1) * Beat();
+    beat_ = 0;
+  }
+}
+
+void Fleet::BeginPeriod(TimePoint now) {
+  Forgetting(now);
+  Refresh();
+  if (!Judges()) return;
+  if (without_ != Without::kAskingAgain || living_.empty()) LookAround(now);
+  // In the order that the period's number and the names give, the next one after us.
+  const auto period = static_cast<std::uint64_t>(now / Duration(limits_.period));
+  const std::uint64_t own = OrderIn(period, own_.digest);
+  std::vector<std::pair<std::uint64_t, Known*>> order;
+  for (Known* known : living_) {
+    if (!known->accused) order.emplace_back(OrderIn(period, known->digest) - own, known);
+  }
+  const std::size_t count = std::min(order.size(), more_probes_ > 0 ? kProbesInTrouble : 1);
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+  for (std::size_t i = 0; i < count; ++i) {
+    Known& member = *order[i].second;
+    if (Ping(Purpose::kProbe, member.place, &member, now)) probes_.push_back({member.name, now});
+  }
+  more_probes_ = std::max(more_probes_ - 1, 0);
+}
+
+// Asks at a place that nobody is known to stand at. All together ask at each some kLooks times a period.
+void Fleet::LookAround(TimePoint now) {
+  const std::vector<Place>& lost = Lost();
+  if (lost.empty() || Random(living_.size() + 1) >= kLooks * lost.size()) return;
+  Ping(Purpose::kLook, lost[Random(lost.size())], nullptr, now);
+}
+
+void Fleet::Probing(TimePoint now) {
+  for (Probe& probe : probes_) {
+    Known* member = Find(probe.name);
+    if (probe.answered || member == nullptr || !Lives(member->word.state) || member->accused) {
+      probe.answered = true;
+      continue;
+    }
+    if (now - probe.at < Beat() / 2) continue;  // asked in this beat
+    if (now - probe.at < kFailAfterBeats * Beat() - Beat() / 2) {
+      // Asked again each time: one lost datagram in ten would else be a suspicion in a hundred.
+      Ping(Purpose::kProbe, member->place, member, now);
+      if (!probe.helped && now - probe.at >= kHelpAfterBeats * Beat() - Beat() / 2) {
+        probe.helped = true;
+        AskFor(*member, kHelpers, now);
+      }
+      continue;
+    }
+    probe.answered = true;  // judged
+    if (!probe.heard && without_ != Without::kLocalHealth) health_ = std::min(health_ + 1, kMostHealth);
+    Accuse(*member, now);
+  }
+  std::erase_if(probes_, [](const Probe& p) { return p.answered; });
+}
+
+void Fleet::Accuse(Known& member, TimePoint now) {
+  ++counts_.suspicions_raised;
+  more_probes_ = kTroublePeriods;
+  member.accused = true;
+  member.knocks = 0;
+  member.accused_at = now;
+  member.since = now;
+  changes_.push_back({member.name, member.word.life, State::kAlive, State::kSuspect, false, true});
+}
+
+Duration Fleet::SuspicionOf(const Known& member) const {
+  const int falls = std::max(0, member.falls - kFallsFree);
+  return Duration(limits_.suspicion) * (1 + health_) * (1 << falls);
+}
+
+void Fleet::Knocking(TimePoint now) {
+  if (!Judges()) return;
+  // Judging stands still while it may be our own fault that nobody answers.
+  const bool deaf = without_ != Without::kLocalHealth && Deaf(now);
+  std::vector<Known*> suspects;
+  std::copy_if(living_.begin(), living_.end(), std::back_inserter(suspects),
+               [](const Known* k) { return k->accused; });
+  std::shuffle(suspects.begin(), suspects.end(), random_);
+  std::size_t knocks = 0;
+  for (Known* member : suspects) {
+    if (deaf) member->accused_at += Beat();
+    if (now - member->accused_at >= SuspicionOf(*member) &&
+        (member->knocks >= kLeastKnocks || without_ == Without::kKnocking)) {
+      ++counts_.deaths_declared;
+      Word word = member->word;
+      word.state = State::kDead;
+      Become(*member, word, true, true, now);
+      continue;
+    }
+    if (without_ == Without::kKnocking || knocks >= kKnocksABeat) continue;
+    if (now - member->knocked_at < kKnockBeats * Beat() - Beat() / 2) continue;
+    member->knocked_at = now;
+    if (!Ping(Purpose::kKnock, member->place, member, now)) continue;
+    ++knocks;
+    if (++member->knocks % 2 == 0) AskFor(*member, 1, now);
+  }
+  Refresh();
+}
+
+void Fleet::Gossip(TimePoint now) {
+  if (left_ && queue_.empty()) return;
+  if (Judges() && Unsettled(now)) {
+    // What is new rides on these as well, both ways.
+    for (const Known* member : Several(kSyncsABeat, {})) Ping(Purpose::kSync, member->place, member, now);
+  } else if (!queue_.empty()) {
+    for (const Known* member : Several(kToldABeat, {})) {
+      Draft draft;
+      draft.kind = Kind::kGossip;
+      if (Differed(now)) draft.fill = fill_from_;
+      Send(member->place, Rank::kNews, draft);
+    }
+  }
+  if (!Judges()) return;
+  // Nobody is known yet, or any more: whoever may be there is asked more often.
+  if (living_.empty() && beat_ != 0) LookAround(now);
+}
+
+// Asks that were not answered; whoever asked for another hears that we could not reach it either, and knows
+// that its own way is sound.
+void Fleet::Expire(TimePoint now) {
+  for (auto at = asks_.begin(); at != asks_.end();) {
+    const Ask& ask = at->second;
+    const bool relay = ask.purpose == Purpose::kRelay;
+    if (now - ask.at < (relay ? Beat() : kAsksLive * Duration(limits_.period))) {
+      ++at;
+      continue;
+    }
+    if (relay) {
+      Draft draft;
+      draft.kind = Kind::kNack;
+      draft.number = ask.for_number;
+      Send(ask.for_place, Rank::kAnswer, draft);
+    }
+    at = asks_.erase(at);
+  }
+}
+
+void Fleet::Forgetting(TimePoint now) {
+  std::vector<std::string> gone;
+  for (auto& [name, known] : members_) {
+    if (known.falls > 0 && now - known.fell_at > kFallPeriods * Duration(limits_.period)) {
+      --known.falls;
+      known.fell_at = now;
+    }
+    if (!Lives(known.word.state) && now - known.since > Duration(limits_.forget)) gone.push_back(name);
+  }
+  for (const std::string& name : gone) Erase(name);
+}
+
+void Fleet::Leave(TimePoint now) {
+  if (left_) return;
+  left_ = true;
+  ++own_.word.incarnation;
+  own_.word.state = State::kLeft;
+  own_.since = now;
+  TellOfSelf();
+  Count(PartOf(own_.digest), DigestMember(self_.name, self_.life), 0);
+  Refill(now);
+  for (const Known* member : Several(kToldAtLeave, {})) {
+    Draft draft;
+    draft.kind = Kind::kGossip;
+    Send(member->place, Rank::kAsk, draft);
+  }
+  next_beat_ = std::min(next_beat_, now + Beat());
+}
+
+void Fleet::Note(std::string line, TimePoint now) {
+  if (noted_.count() != 0 && now - noted_ < kNoteEvery) return;
+  noted_ = now;
+  notes_.push_back(std::move(line));
+}
+
+}  // namespace postspread::membership
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -1,6 +1,7 @@
 #include "net/gatekeeper.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "net/log.h"
@@ -39,10 +40,38 @@
 
 std::optional<config::Peers> PeersOf(const config::Config& config,
                                      const operator_file::OperatorFile& operators) {
-  if (!operators.idempotency.enabled && !operators.demand.tell) return std::nullopt;
+  const bool fleet = operators.fleet.enabled && operators.fleet.listen.empty();
+  if (!operators.idempotency.enabled && !operators.demand.tell && !fleet) return std::nullopt;
   return config::ToPeers(config);
 }
 
+std::uint64_t PlaceOf(const std::string& text) {
+  const std::optional<config::Address> address = config::Address::Parse(text);
+  return PeerLink::PlaceOf(*reinterpret_cast<const sockaddr_in*>(address->get()));
+}
+
+planner::Planner::Extras ToExtras(const config::Config& config, const operator_file::OperatorFile& operators,
+                                  membership::Without without) {
+  const std::optional<config::Peers> peers = PeersOf(config, operators);
+  planner::Planner::Extras out;
+  out.keys = operators.idempotency;
+  out.demand = operators.demand;
+  out.has_peers = peers.has_value();
+  out.fleet = operators.fleet;
+  out.name = config.name;
+  out.may_be_succeeded = config.inherited.has_value();
+  out.without = without;
+  if (!operators.fleet.enabled) return out;
+  if (!operators.fleet.listen.empty()) {
+    out.place = PlaceOf(operators.fleet.listen);
+    for (const std::string& seed : operators.fleet.seeds) out.seeds.push_back(PlaceOf(seed));
+  } else if (peers) {
+    out.place = static_cast<membership::Place>(config.settings.rank);
+    for (std::size_t rank = 0; rank < peers->each.size(); ++rank) out.seeds.push_back(rank);
+  }
+  return out;
+}
+
 flow::Shares SharesOf(const config::Config& config) {
   return flow::ToShares({.memory = config.memory_mb * kBytesPerMb,
                          .sockets = config.sockets,
@@ -54,14 +83,11 @@
 }  // namespace
 
 Gatekeeper::Gatekeeper(event_base* base, const config::Config& config,
-                       const operator_file::OperatorFile& operators)
+                       const operator_file::OperatorFile& operators, membership::Without without)
     : base_(base),
       config_(config),
       operators_(operators),
-      planner_(config.settings, config.seed, WallNow(), Clock::now(),
-               {.keys = operators.idempotency,
-                .demand = operators.demand,
-                .has_peers = PeersOf(config, operators).has_value()}),
+      planner_(config.settings, config.seed, WallNow(), Clock::now(), ToExtras(config, operators, without)),
       max_open_(config.max_open),
       shares_(SharesOf(config)),
       letters_(shares_.letters),
@@ -78,7 +104,8 @@
              .connections = shares_.hops},
             *this),
       sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings), shares_.clients,
-                   bodies_, *this) {
+                   bodies_, *this),
+      mail_(config.settings.mail_per_s) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
@@ -94,7 +121,14 @@
                      Report(planner::PeerReport{rank, std::string(bytes)});
                    });
   }
+  if (operators.fleet.enabled && !operators.fleet.listen.empty()) {
+    fleet_link_.emplace(base, *config::Address::Parse(operators.fleet.listen), config.inherited.has_value(),
+                        [this](std::uint64_t place, std::string_view bytes) {
+                          Report(planner::FleetReport{place, std::string(bytes)});
+                        });
+  }
   if (planner_.keeper() != nullptr) keys_.Arm(kKeysLine);
+  if (planner_.fleet() != nullptr) ArmTick();
   NameClasses();
   if (config.inherited) start_.Arm(kStartCheck);
   if (config.ops) door_.emplace(base, *config.ops, static_cast<ops::Desk&>(*this));
@@ -126,7 +160,54 @@
   const Controller::Roll roll = planner_.Count(Clock::now());
   return ops::Render(figures_, {.pending = held_.size() + passing_.size(),
                                 .members = roll.listed,
-                                .members_unavailable = roll.avoided});
+                                .members_unavailable = roll.avoided,
+                                .fleet = FleetFigures()});
+}
+
+std::optional<ops::FleetFigures> Gatekeeper::FleetFigures() const {
+  const membership::Fleet* fleet = planner_.fleet();
+  if (fleet == nullptr) return std::nullopt;
+  const membership::Counts& counts = fleet->counts();
+  ops::FleetFigures out;
+  for (std::size_t i = 0; i < membership::kStates; ++i) {
+    out.members[std::string(membership::Name(static_cast<membership::State>(i)))] = 0;
+  }
+  for (const membership::Member& m : fleet->view().members) ++out.members[std::string(Name(m.word.state))];
+  out.dropped = {{"unreadable", counts.unreadable}, {"foreign", counts.foreign},
+                 {"future", counts.future},         {"former_life", counts.former_life},
+                 {"unasked", counts.unasked},       {"no_room", counts.no_room}};
+  out.suspicions_raised = counts.suspicions_raised;
+  out.suspicions_refuted = counts.suspicions_refuted;
+  out.deaths_declared = counts.deaths_declared;
+  out.view_changes = counts.view_changes;
+  out.datagrams_sent = counts.sent;
+  out.bytes_sent = counts.bytes_sent;
+  out.name_conflicts = counts.name_conflicts;
+  out.held_back = counts.held_back + mail_.held_back();
+  return out;
+}
+
+std::string Gatekeeper::Fleet() {
+  const membership::Fleet* fleet = planner_.fleet();
+  if (fleet == nullptr) return {};
+  const membership::View view = fleet->view();
+  char hash[17];
+  std::snprintf(hash, sizeof hash, "%016llx", static_cast<unsigned long long>(view.hash));
+  nlohmann::json members = nlohmann::json::array();
+  for (const membership::Member& m : view.members) {
+    std::string address = std::to_string(m.place);
+    if (fleet_link_) address = PeerLink::TextOf(m.place);
+    if (peers_ && !fleet_link_ && m.place < config_.peers.size()) address = config_.peers[m.place];
+    members.push_back({{"name", m.name},
+                       {"address", address},
+                       {"state", Name(m.word.state)},
+                       {"life", m.word.life},
+                       {"since_ms", duration_cast<milliseconds>(m.since).count()},
+                       {"word", m.word.incarnation}});
+  }
+  return nlohmann::json{
+      {"self", fleet->name()}, {"life", fleet->life()}, {"view", hash}, {"members", members}}
+      .dump();
 }
 
 bool Gatekeeper::Drain() {
@@ -348,10 +429,20 @@
 
 void Gatekeeper::Do(planner::Tell& step) {
   if (!peers_) return;
-  if (step.rank == planner::Tell::kAll) return peers_->SendToAll(config_.settings.rank, step.bytes);
+  const bool to_all = step.rank == planner::Tell::kAll;
+  const std::size_t others = config_.peers.size() - 1;
+  if (!mail_.Take(to_all ? flow::Mail::kDemand : flow::Mail::kKeys, to_all ? others : 1, Clock::now()))
+    return;
+  if (to_all) return peers_->SendToAll(config_.settings.rank, step.bytes);
   peers_->Send(step.rank, step.bytes);
 }
 
+void Gatekeeper::Do(planner::TellFleet& step) {
+  if (fleet_link_) return fleet_link_->SendTo(step.place, step.bytes);
+  if (!peers_ || !mail_.Take(flow::Mail::kFleet, 1, Clock::now())) return;
+  peers_->Send(static_cast<int>(step.place), step.bytes);
+}
+
 void Gatekeeper::Do(planner::Abandon& step) { pool_.Abandon({step.envelope, step.attempt}); }
 
 void Gatekeeper::Do(planner::AskCounter& step) {
@@ -382,7 +473,7 @@
     retire_.Arm(kRetireCheck);
   }
   if (!(discovery_->address() == config.discovery)) discovery_->MoveTo(config.discovery);
-  planner_.SetLimits(operators.idempotency);
+  planner_.SetLimits(operators.idempotency, operators.fleet);
   ++figures_.config_reloads;
   Settings settings = config.settings;
   const bool plans_stay = planner_.Reconfigure(settings);
@@ -390,12 +481,16 @@
   sender_side_.SetVocabulary(ToVocabulary(settings));
   const bool keys_differ = operators.idempotency.enabled != operators_.idempotency.enabled ||
                            operators.idempotency.memory != operators_.idempotency.memory;
+  const bool fleet_differs =
+      operators.fleet.enabled != operators_.fleet.enabled || operators.fleet.name != operators_.fleet.name ||
+      operators.fleet.seeds != operators_.fleet.seeds || operators.fleet.listen != operators_.fleet.listen;
   const bool times_differ = config.settings.dial_timeout != config_.settings.dial_timeout ||
                             config.settings.counter_timeout != config_.settings.counter_timeout;
   const bool more = config.name != config_.name || !(config.listen == config_.listen) ||
                     config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
                     plans_stay || times_differ || config.hop_idle != config_.hop_idle ||
-                    config.max_open != config_.max_open || keys_differ;
+                    config.max_open != config_.max_open || keys_differ || fleet_differs;
+  mail_.SetPace(config.settings.mail_per_s);
   config_.settings = std::move(settings);
   config_.keys = config.keys;
   NameClasses();
@@ -426,6 +521,7 @@
   if (lifecycle_.stopping()) return;
   lifecycle_.Stop(Clock::now());
   Log("draining", "told to stop");
+  Run(planner_.Leave(Clock::now()));
   if (config_.inherited) {
     // The other processes that hold the socket accept; what comes on kept connections is served until each is
     // closed between two requests.
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -13,6 +13,7 @@
 
 #include "config/config.h"
 #include "flow/byte_budget.h"
+#include "flow/mail_budget.h"
 #include "flow/shares.h"
 #include "net/counter_client.h"
 #include "net/discovery_watch.h"
@@ -32,7 +33,8 @@
  public:
   // Listens at once; throws std::runtime_error where it can't.
   Gatekeeper(event_base* base, const config::Config& config,
-             const operator_file::OperatorFile& operators = {});
+             const operator_file::OperatorFile& operators = {},
+             membership::Without without = membership::Without::kNothing);
   Gatekeeper(const Gatekeeper&) = delete;
   Gatekeeper& operator=(const Gatekeeper&) = delete;
 
@@ -82,6 +84,7 @@
   // ops::Desk
   bool Ready(std::string_view& state) override;
   std::string Metrics() override;
+  std::string Fleet() override;
   bool Drain() override;
   bool Activate() override;
 
@@ -99,10 +102,12 @@
   void Do(planner::Serve& step);
   void Do(planner::Forget& step);
   void Do(planner::Tell& step);
+  void Do(planner::TellFleet& step);
   void Do(planner::Abandon& step);
   void Do(planner::AskCounter& step);
   void Do(planner::ProbeHop& step);
   void Do(planner::Note& step);
+  std::optional<ops::FleetFigures> FleetFigures() const;
   bool Able() const;
   void NameClasses();
   void StopStage();
@@ -142,7 +147,9 @@
   std::list<CounterClient> counters_;  // the last is the configuration's; those before it are being left
   SenderSide sender_side_;
   std::optional<DiscoveryWatch> discovery_;
+  flow::MailBudget mail_;
   std::optional<PeerLink> peers_;
+  std::optional<PeerLink> fleet_link_;  // where the view of the fleet has a socket of its own
   std::optional<OpsDoor> door_;
 };
 
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -11,8 +11,8 @@
 namespace postspread::net {
 namespace {
 
-constexpr std::size_t kMaxDatagram = 512;  // what is longer is no datagram of ours: cut, it is refused
-constexpr unsigned kDatagramsATurn = 16;   // read before the loop turns to others
+constexpr std::size_t kMaxDatagram = 1'500;  // what is longer is no datagram of ours: cut, it is refused
+constexpr unsigned kDatagramsATurn = 16;     // read before the loop turns to others
 
 bool IsSame(const sockaddr_storage& from, const config::Address& peer) {
   if (from.ss_family != peer.get()->sa_family) return false;
@@ -31,6 +31,15 @@
 PeerLink::PeerLink(event_base* base, const config::Address& listen, std::vector<config::Address> peers,
                    std::optional<config::Address> all, bool shared, OnDatagram on_datagram)
     : peers_(std::move(peers)), all_(std::move(all)), on_datagram_(std::move(on_datagram)) {
+  Open(base, listen, shared);
+}
+
+PeerLink::PeerLink(event_base* base, const config::Address& listen, bool shared, OnPlace on_place)
+    : on_place_(std::move(on_place)) {
+  Open(base, listen, shared);
+}
+
+void PeerLink::Open(event_base* base, const config::Address& listen, bool shared) {
   fd_ = socket(listen.get()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   // The kernel gives datagrams to the process that bound last: the one that stays.
   const int one = 1;
@@ -57,6 +66,26 @@
       sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, peer.get(), peer.size());
 }
 
+std::uint64_t PeerLink::PlaceOf(const sockaddr_in& address) {
+  return std::uint64_t{ntohl(address.sin_addr.s_addr)} << 16 | ntohs(address.sin_port);
+}
+
+std::string PeerLink::TextOf(std::uint64_t place) {
+  std::string out;
+  for (int shift = 40; shift >= 16; shift -= 8)
+    out += std::to_string(place >> shift & 0xff) + (shift > 16 ? "." : ":");
+  return out + std::to_string(place & 0xffff);
+}
+
+void PeerLink::SendTo(std::uint64_t place, std::string_view bytes) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl(static_cast<std::uint32_t>(place >> 16));
+  to.sin_port = htons(static_cast<std::uint16_t>(place & 0xffff));
+  [[maybe_unused]] const ssize_t sent = sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                                               reinterpret_cast<const sockaddr*>(&to), sizeof to);
+}
+
 void PeerLink::SendToAll(int own_rank, std::string_view bytes) {
   if (all_) {
     [[maybe_unused]] const ssize_t sent =
@@ -78,6 +107,11 @@
     const ssize_t got =
         recvfrom(fd_, bytes, sizeof bytes, MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), &size);
     if (got < 0) return;
+    if (on_place_) {
+      if (from.ss_family != AF_INET) continue;
+      on_place_(PlaceOf(reinterpret_cast<const sockaddr_in&>(from)), {bytes, static_cast<std::size_t>(got)});
+      continue;
+    }
     int rank = 0;
     while (rank < static_cast<int>(peers_.size()) && !IsSame(from, peers_[static_cast<std::size_t>(rank)])) {
       ++rank;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -94,6 +94,46 @@
   return out;
 }
 
+// ---- fleet { ... }
+
+int CheckFleetName(cfg_t* cfg, cfg_opt_t* opt) {
+  const std::string name = cfg_opt_getnstr(opt, 0);
+  if (!name.empty() && name.size() <= membership::kMaxName) return 0;
+  cfg_error(cfg, "%s is \"%s\": 1 to %zu bytes are wanted", FullName(cfg, opt).c_str(), name.c_str(),
+            membership::kMaxName);
+  return -1;
+}
+
+void CheckFleet(cfg_t* root) {
+  cfg_set_validate_func(root, "fleet|name", CheckFleetName);
+  cfg_set_validate_func(root, "fleet|datagram",
+                        Within<membership::kLeastDatagram, membership::kMaxDatagram, ' ', 'b'>);
+  cfg_set_validate_func(root, "fleet|datagrams_per_second", Within<5, 10'000>);
+  cfg_set_validate_func(root, "fleet|period", Within<50, 60'000, 'm', 's'>);
+  cfg_set_validate_func(root, "fleet|suspicion", Within<100, 600'000, 'm', 's'>);
+  cfg_set_validate_func(root, "fleet|forget", Within<1'000, 86'400'000, 'm', 's'>);
+}
+
+membership::Limits DecodeFleet(cfg_t* block, const std::string& file) {
+  membership::Limits out;
+  out.enabled = cfg_getbool(block, "enabled") == cfg_true;
+  out.name = cfg_getstr(block, "name");
+  for (unsigned i = 0; i < cfg_size(block, "seeds"); ++i) out.seeds.push_back(cfg_getnstr(block, "seeds", i));
+  out.listen = cfg_getstr(block, "listen");
+  out.datagram = static_cast<std::size_t>(cfg_getint(block, "datagram"));
+  out.datagrams_per_second = static_cast<double>(cfg_getint(block, "datagrams_per_second"));
+  out.period = std::chrono::milliseconds(cfg_getint(block, "period"));
+  out.suspicion = std::chrono::milliseconds(cfg_getint(block, "suspicion"));
+  out.forget = std::chrono::milliseconds(cfg_getint(block, "forget"));
+  const auto wrong = [&](const char* what) { throw OperatorError(file + ": " + what); };
+  // Knocks are five a period: in two, ten must fail before anybody is declared dead.
+  if (out.suspicion < 2 * out.period) wrong("fleet.suspicion is shorter than two of fleet.period");
+  if (out.forget < out.suspicion) wrong("fleet.forget is shorter than fleet.suspicion");
+  if (out.listen.empty() && !out.seeds.empty()) wrong("fleet.seeds needs fleet.listen");
+  if (!out.listen.empty() && out.seeds.empty()) wrong("fleet.listen needs fleet.seeds");
+  return out;
+}
+
 }  // namespace
 
 OperatorFile Decode(const std::string& text, const std::string& name) {
@@ -113,9 +153,22 @@
   const demand::Limits demand;
   cfg_opt_t demand_block[] = {CFG_BOOL_CB("tell", demand.tell ? cfg_true : cfg_false, CFGF_NONE, ParseFlag),
                               CFG_END()};
+  const membership::Limits fleet;
+  cfg_opt_t fleet_block[] = {
+      CFG_BOOL_CB("enabled", fleet.enabled ? cfg_true : cfg_false, CFGF_NONE, ParseFlag),
+      CFG_STR("name", fleet.name.c_str(), CFGF_NONE),
+      CFG_STR_LIST("seeds", const_cast<char*>("{}"), CFGF_NONE),
+      CFG_STR("listen", "", CFGF_NONE),
+      CFG_INT_CB("datagram", static_cast<long>(fleet.datagram), CFGF_NONE, ParseSize),
+      CFG_INT_CB("datagrams_per_second", static_cast<long>(fleet.datagrams_per_second), CFGF_NONE,
+                 ParseCount),
+      CFG_INT_CB("period", fleet.period.count(), CFGF_NONE, ParseSpan),
+      CFG_INT_CB("suspicion", fleet.suspicion.count(), CFGF_NONE, ParseSpan),
+      CFG_INT_CB("forget", fleet.forget.count(), CFGF_NONE, ParseSpan),
+      CFG_END()};
   cfg_opt_t blocks[] = {CFG_SEC("idempotency", idempotency_block, CFGF_NONE),
-                        CFG_SEC("demand", demand_block, CFGF_NONE), CFG_BOOL(kEnd, cfg_false, CFGF_NONE),
-                        CFG_END()};
+                        CFG_SEC("demand", demand_block, CFGF_NONE), CFG_SEC("fleet", fleet_block, CFGF_NONE),
+                        CFG_BOOL(kEnd, cfg_false, CFGF_NONE), CFG_END()};
 
   const ConfigHandle root(cfg_init(blocks, CFGF_NONE));
   if (!root) throw OperatorError(name + ": not enough memory to read it");
@@ -123,6 +176,7 @@
   error_sink = &sink;
   cfg_set_error_function(root.get(), KeepError);
   CheckIdempotency(root.get());
+  CheckFleet(root.get());
   const bool is_text = text.find('\0') == std::string::npos;
   const int result =
       is_text ? cfg_parse_buf(root.get(), (text + "\n" + kEnd + " = true\n").c_str()) : CFG_FILE_ERROR;
@@ -132,7 +186,8 @@
     throw OperatorError(sink.fault.empty() ? name + ": not a text file" : sink.fault);
   }
   return {.idempotency = DecodeIdempotency(cfg_getsec(root.get(), "idempotency")),
-          .demand = {.tell = cfg_getbool(cfg_getsec(root.get(), "demand"), "tell") == cfg_true}};
+          .demand = {.tell = cfg_getbool(cfg_getsec(root.get(), "demand"), "tell") == cfg_true},
+          .fleet = DecodeFleet(cfg_getsec(root.get(), "fleet"), name)};
 }
 
 OperatorFile Load(const std::string& path) {
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -9,6 +9,7 @@
 
 #include "demand/limits.h"
 #include "idempotency/limits.h"
+#include "membership/types.h"
 
 namespace postspread::operator_file {
 
@@ -21,6 +22,7 @@
 struct OperatorFile {
   idempotency::Limits idempotency;
   demand::Limits demand;
+  membership::Limits fleet;
   bool operator==(const OperatorFile&) const = default;
 };
 
--- a/src/ops/calls.cpp
+++ b/src/ops/calls.cpp
@@ -1,5 +1,7 @@
 #include "ops/calls.h"
 
+#include <utility>
+
 namespace postspread::ops {
 namespace {
 
@@ -11,6 +13,12 @@
 
 Answer Metrics(Desk& desk) { return {.status = 200, .body = desk.Metrics(), .allow = {}}; }
 
+Answer Fleet(Desk& desk) {
+  std::string body = desk.Fleet();
+  if (body.empty()) return {.status = 404, .body = "the view of the fleet is off\n", .allow = {}};
+  return {.status = 200, .body = std::move(body) + "\n", .allow = {}};
+}
+
 Answer Done(bool done, const char* what) {
   if (done) return {.status = 200, .body = std::string(what) + "\n", .allow = {}};
   return {.status = 409, .body = "the process is stopping\n", .allow = {}};
@@ -25,6 +33,7 @@
 };
 constexpr Route kRoutes[] = {{"/v1/readyz", "GET", Readyz},
                              {"/v1/metrics", "GET", Metrics},
+                             {"/v1/fleet", "GET", Fleet},
                              {"/v1/gatekeeper/drain", "PUT", Drain},
                              {"/v1/gatekeeper/activate", "PUT", Activate}};
 
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -19,6 +19,8 @@
   // Whether it serves; `state` is told in plain words.
   virtual bool Ready(std::string_view& state) = 0;
   virtual std::string Metrics() = 0;
+  // The view of the fleet as JSON; empty: it is off.
+  virtual std::string Fleet() = 0;
   // False: too late, the process is stopping.
   virtual bool Drain() = 0;
   virtual bool Activate() = 0;
--- a/src/ops/figures.cpp
+++ b/src/ops/figures.cpp
@@ -44,22 +44,54 @@
   return out;
 }
 
+template <typename T>
+MetricFamily Labelled(const char* name, const char* help, MetricType type, const char* label,
+                      const std::map<std::string, T>& values) {
+  MetricFamily out = Family(name, help, type);
+  for (const auto& [word, value] : values) {
+    ClientMetric& metric = out.metric.emplace_back();
+    metric.label.push_back({label, word});
+    (type == MetricType::Gauge ? metric.gauge.value : metric.counter.value) = static_cast<double>(value);
+  }
+  return out;
+}
+
+void AddFleet(const FleetFigures& fleet, std::vector<MetricFamily>& out) {
+  out.push_back(Labelled("fleet_members", "Gatekeepers by what this one holds of them", MetricType::Gauge,
+                         "state", fleet.members));
+  out.push_back(Labelled("fleet_dropped", "Datagrams that changed nothing, by cause", MetricType::Counter,
+                         "cause", fleet.dropped));
+  out.push_back(Counter("fleet_suspicions_raised", "Suspicions of this gatekeeper", fleet.suspicions_raised));
+  out.push_back(
+      Counter("fleet_suspicions_refuted", "Of these: the suspect answered", fleet.suspicions_refuted));
+  out.push_back(
+      Counter("fleet_deaths_declared", "Deaths that this gatekeeper declared", fleet.deaths_declared));
+  out.push_back(Counter("fleet_view_changes", "Changes of the set of living members", fleet.view_changes));
+  out.push_back(
+      Counter("fleet_name_conflicts", "Signs of two processes under one name", fleet.name_conflicts));
+  out.push_back(Counter("fleet_datagrams_sent", "Datagrams of the view", fleet.datagrams_sent));
+  out.push_back(Counter("fleet_bytes_sent", "Their bytes", fleet.bytes_sent));
+  out.push_back(Counter("fleet_held_back", "Datagrams not sent for want of budget", fleet.held_back));
+}
+
 }  // namespace
 
 std::string Render(const Figures& figures, const Levels& levels) {
-  return prometheus::TextSerializer().Serialize(
-      {ByClass("completed", "Requests served", figures, &ClassFigures::completed),
-       ByClass("rejected", "Requests refused", figures, &ClassFigures::rejected),
-       ByClass("failed", "Requests failed", figures, &ClassFigures::failed),
-       Counter("upstream_requests", "Attempts written whole to workers", figures.upstream_requests),
-       Gauge("pending", "Requests taken and not ended", levels.pending),
-       Gauge("members", "Workers in the list", levels.members),
-       Gauge("members_unavailable", "Listed workers that are avoided now", levels.members_unavailable),
-       Counter("config_reloads", "Configurations taken on at SIGHUP", figures.config_reloads),
-       Counter("config_reload_errors", "Configurations turned down at SIGHUP", figures.config_reload_errors),
-       Counter("over_quota_answers", "Answers that told of a customer beyond its quota",
-               figures.over_quota_answers),
-       Counter("odd_use", "Answers whose figures on use could not be read", figures.odd_use)});
+  std::vector<MetricFamily> out{
+      ByClass("completed", "Requests served", figures, &ClassFigures::completed),
+      ByClass("rejected", "Requests refused", figures, &ClassFigures::rejected),
+      ByClass("failed", "Requests failed", figures, &ClassFigures::failed),
+      Counter("upstream_requests", "Attempts written whole to workers", figures.upstream_requests),
+      Gauge("pending", "Requests taken and not ended", levels.pending),
+      Gauge("members", "Workers in the list", levels.members),
+      Gauge("members_unavailable", "Listed workers that are avoided now", levels.members_unavailable),
+      Counter("config_reloads", "Configurations taken on at SIGHUP", figures.config_reloads),
+      Counter("config_reload_errors", "Configurations turned down at SIGHUP", figures.config_reload_errors),
+      Counter("over_quota_answers", "Answers that told of a customer beyond its quota",
+              figures.over_quota_answers),
+      Counter("odd_use", "Answers whose figures on use could not be read", figures.odd_use)};
+  if (levels.fleet) AddFleet(*levels.fleet, out);
+  return prometheus::TextSerializer().Serialize(out);
 }
 
 }  // namespace postspread::ops
--- a/src/ops/figures.h
+++ b/src/ops/figures.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,7 +26,7 @@
   std::uint64_t config_reloads = 0;
   std::uint64_t config_reload_errors = 0;
   std::uint64_t over_quota_answers = 0;  // told that their customer used more than its quota of late
-  std::uint64_t odd_use = 0;  // answers whose figures on use could not be read
+  std::uint64_t odd_use = 0;             // answers whose figures on use could not be read
 
   ClassFigures& Of(std::string_view name) {
     const auto found = classes.find(name);
@@ -33,11 +34,20 @@
   }
 };
 
+// Of the view of the fleet, where it is on.
+struct FleetFigures {
+  std::map<std::string, std::size_t> members;    // by state
+  std::map<std::string, std::uint64_t> dropped;  // datagrams, by cause
+  std::uint64_t suspicions_raised = 0, suspicions_refuted = 0, deaths_declared = 0, view_changes = 0;
+  std::uint64_t datagrams_sent = 0, bytes_sent = 0, name_conflicts = 0, held_back = 0;
+};
+
 // What is not counted but looked at, at the call.
 struct Levels {
   std::size_t pending = 0;              // requests taken and not ended
   std::size_t members = 0;              // next hops in the list
   std::size_t members_unavailable = 0;  // of these: avoided now
+  std::optional<FleetFigures> fleet{};
 };
 
 // In the text format of Prometheus.
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -95,6 +95,12 @@
   if (extras.demand.tell && extras.has_peers && settings_.can_tell) {
     board_.emplace(demand::Place{settings_.group_size, settings_.mail_per_s, seed}, wall);
   }
+  if (extras.fleet.enabled) {
+    const auto life = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+    fleet_.emplace(membership::Fleet::Self{extras.name, extras.place, static_cast<std::uint64_t>(life),
+                                           extras.may_be_succeeded},
+                   extras.seeds, extras.fleet, seed, wall, extras.without);
+  }
   if (!extras.keys.enabled) return;
   keeper_.emplace(extras.keys,
                   idempotency::Keeper::Place{.rank = settings_.rank,
@@ -129,8 +135,32 @@
   return !same_plans;
 }
 
-void Planner::SetLimits(const idempotency::Limits& keys) {
+void Planner::SetLimits(const idempotency::Limits& keys, const membership::Limits& fleet) {
   if (keeper_) keeper_->SetLimits(keys);
+  if (fleet_) fleet_->SetLimits(fleet);
+}
+
+Steps Planner::Leave(Clock::time_point now) {
+  steps_.clear();
+  if (fleet_) {
+    fleet_->Leave(At(now));
+    CarryFleet();
+  }
+  return steps_;
+}
+
+// Each change of a member is a line, and so is what somebody ought to look at.
+void Planner::CarryFleet() {
+  for (membership::Fleet::Datagram& d : fleet_->TakeDatagrams()) {
+    steps_.emplace_back(TellFleet{d.to, std::move(d.bytes)});
+  }
+  for (const membership::Change& change : fleet_->TakeChanges()) {
+    std::string line = "fleet: " + change.name + " is " + std::string(Name(change.to));
+    if (!change.is_new) line += ", was " + std::string(Name(change.from));
+    line += change.by_self ? ", seen here" : ", heard";
+    steps_.emplace_back(Note{line + ", life " + std::to_string(change.life)});
+  }
+  for (std::string& note : fleet_->TakeNotes()) steps_.emplace_back(Note{"fleet: " + std::move(note)});
 }
 
 TimePoint Planner::At(Clock::time_point now) {
@@ -177,7 +207,14 @@
   const TimePoint at = At(now);
   if (const auto* peer = std::get_if<PeerReport>(&report)) {
     if (board_ && board_->Received(peer->bytes, at)) return steps_;
+    if (fleet_ && fleet_->Received(static_cast<membership::Place>(peer->rank), peer->bytes, at)) {
+      CarryFleet();
+      return steps_;
+    }
     if (keeper_) Carry(keeper_->Received(peer->rank, peer->bytes, at), at);
+  } else if (const auto* member = std::get_if<FleetReport>(&report)) {
+    if (fleet_ && fleet_->Received(member->place, member->bytes, at)) CarryFleet();
+    return steps_;
   } else if (const auto* gone = std::get_if<SenderGone>(&report); gone != nullptr && Holds(gone->envelope)) {
     Carry(keeper_->WaiterGone(gone->envelope, at), at);
   } else {
@@ -214,6 +251,10 @@
     Carry(keeper_->Tick(at), at);
     Settle(at);
   }
+  if (fleet_) {
+    fleet_->Tick(at);
+    CarryFleet();
+  }
   return steps_;
 }
 
@@ -228,6 +269,7 @@
     const std::optional<TimePoint> tell = board_->NextTick();
     if (tell && (!next || *tell < *next)) next = tell;
   }
+  if (fleet_ && (!next || fleet_->NextTick() < *next)) next = fleet_->NextTick();
   if (!next) return std::nullopt;
   return start_ + (*next - wall_);
 }
@@ -402,7 +444,8 @@
                     ToLoad(report.load)};
 }
 
-Event Planner::ToEvent(PeerReport&&) { return TimerEvent{}; }  // the keeper's alone
+Event Planner::ToEvent(PeerReport&&) { return TimerEvent{}; }   // not the module's
+Event Planner::ToEvent(FleetReport&&) { return TimerEvent{}; }  // nor these
 
 Event Planner::ToEvent(SenderGone&& report) {
   open_.erase(report.envelope);
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -17,6 +17,7 @@
 #include "demand/limits.h"
 #include "envelope.h"
 #include "idempotency/keeper.h"
+#include "membership/fleet.h"
 #include "planner/types.h"
 #include "postspread/control.h"
 
@@ -32,6 +33,12 @@
     idempotency::Limits keys;
     demand::Limits demand;
     bool has_peers = false;  // datagrams can be sent to the other gatekeepers
+    membership::Limits fleet{};
+    std::string name{};           // this gatekeeper's, in the view of the fleet
+    membership::Place place = 0;  // where it is reached, as `seeds` count
+    std::vector<membership::Place> seeds{};
+    bool may_be_succeeded = false;  // another process may take over from this one
+    membership::Without without = membership::Without::kNothing;
   };
 
   // `wall` is the wall clock at `now`. Gatekeepers number a customer's periods by it, so it must agree
@@ -48,7 +55,9 @@
   // Places of classes, the empty ones too: no more than were configured at once.
   std::size_t places() const { return settings_.classes.size(); }
   // Takes on what may change while it runs.
-  void SetLimits(const idempotency::Limits& keys);
+  void SetLimits(const idempotency::Limits& keys, const membership::Limits& fleet);
+  // Null where the view of the fleet is off.
+  const membership::Fleet* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
 
   struct Picked {
     EnvelopeNumber number = 0;
@@ -57,6 +66,9 @@
   // A request has come in; it is owed one final answer: a value, a Defer or a Fail.
   Picked Pick(const Envelope& envelope, Clock::time_point now);
 
+  // SIGTERM has come: the fleet is told.
+  Steps Leave(Clock::time_point now);
+
   // Something came back. A served attempt ends its envelope: its value is the final answer.
   Steps Report(ReportValue report, Clock::time_point now);
 
@@ -97,6 +109,7 @@
   RequestEvent ToRequest(const idempotency::Work& work, EnvelopeNumber number, Duration time_left);
   void Carry(idempotency::Actions actions, TimePoint now);
   void Settle(TimePoint now);
+  void CarryFleet();
   void NoteRoster(const RosterReport& report);
   void RefreshPods(TimePoint now);
   void Handle(const Event& event, TimePoint now);
@@ -106,6 +119,7 @@
   Event ToEvent(ProbeReport&& report);
   Event ToEvent(SenderGone&& report);
   Event ToEvent(PeerReport&& report);
+  Event ToEvent(FleetReport&& report);
   void Take(postspread::Send&& action, TimePoint now);
   void Take(postspread::Refuse&& action, TimePoint now);
   void Take(postspread::Fail&& action, TimePoint now);
@@ -135,6 +149,8 @@
   std::vector<Ended> ended_;
   // What gatekeepers tell one another of customers, where they may.
   std::optional<demand::Board> board_;
+  // Which gatekeepers live, where this installation wants to know.
+  std::optional<membership::Fleet> fleet_;
   std::vector<Step> steps_;
 };
 
--- a/src/planner/types.h
+++ b/src/planner/types.h
@@ -40,9 +40,10 @@
 
 // What an answer tells of its customer and of the request itself, where the settings have these figures.
 struct Use {
-  double percent = -1.0;  // of its rate, that the customer used over all gatekeepers of late; below 0: not told
-  double units = 0.0;     // true units of the request; 0: not told
-  bool odd = false;       // something under these names could not be read, and was skipped
+  double percent =
+      -1.0;            // of its rate, that the customer used over all gatekeepers of late; below 0: not told
+  double units = 0.0;  // true units of the request; 0: not told
+  bool odd = false;    // something under these names could not be read, and was skipped
 };
 
 // ---- Steps: to be carried out at once, in order.
@@ -91,6 +92,12 @@
   std::string bytes;
 };
 
+// A datagram of the view of the fleet, to a place as this installation counts them.
+struct TellFleet {
+  std::uint64_t place = 0;
+  std::string bytes;
+};
+
 struct Abandon {
   EnvelopeNumber envelope = 0;
   int attempt = 0;
@@ -110,7 +117,8 @@
   std::string line;
 };
 
-using Step = std::variant<Deliver, Defer, Fail, Serve, Forget, Abandon, AskCounter, ProbeHop, Tell, Note>;
+using Step =
+    std::variant<Deliver, Defer, Fail, Serve, Forget, Abandon, AskCounter, ProbeHop, Tell, TellFleet, Note>;
 
 // ---- Reports: what came back.
 
@@ -163,8 +171,14 @@
   std::string bytes;
 };
 
-using ReportValue =
-    std::variant<AttemptReport, CounterReport, RosterReport, ProbeReport, SenderGone, PeerReport>;
+// A datagram from a place, where the view of the fleet has a socket of its own.
+struct FleetReport {
+  std::uint64_t place = 0;
+  std::string bytes;
+};
+
+using ReportValue = std::variant<AttemptReport, CounterReport, RosterReport, ProbeReport, SenderGone,
+                                 PeerReport, FleetReport>;
 
 }  // namespace postspread::planner
 
--- a/tests/ops/ops_test.cpp
+++ b/tests/ops/ops_test.cpp
@@ -49,6 +49,7 @@
   std::string done;
   bool Ready(std::string_view& state) override { return state = "state", serves; }
   std::string Metrics() override { return "figures"; }
+  std::string Fleet() override { return stopping ? "" : "{}"; }
   bool Drain() override { return done += "drain ", !stopping; }
   bool Activate() override { return done += "activate ", !stopping; }
 };
