The store of keys counts on a group of any size: a few ranks noted an entry in place of 64 bits

Need: witnesses came from the first 64 ranks only, so that firms of a larger group's other gatekeepers had none. Change: a set of up to 15 ranks an entry (72 bytes more a key), ranks of 16 bits on the wire (version 2; the former is refused as unreadable), witnesses 1 to 15. Tests of the fleet block, of a hundred gatekeepers, of a holder that is gone by the view.

--- a/src/idempotency/keeper.cpp
+++ b/src/idempotency/keeper.cpp
@@ -27,13 +27,6 @@
 constexpr std::uint64_t kRankPlace = 2;
 constexpr std::uint16_t kFetchWindow = 32;  // fragments asked for at once: the bits of a FetchRecord
 
-std::uint64_t Bit(int rank) { return rank >= 0 && rank < kMaxPeers ? std::uint64_t{1} << rank : 0; }
-
-template <typename F>
-void ForEachRank(std::uint64_t ranks, F f) {
-  for (; ranks != 0; ranks &= ranks - 1) f(std::countr_zero(ranks));
-}
-
 std::uint32_t ToMs(Duration span) {
   const auto ms = duration_cast<milliseconds>(std::max(Duration(0), span)).count();
   return static_cast<std::uint32_t>(std::min<std::int64_t>(ms, std::numeric_limits<std::uint32_t>::max()));
@@ -249,14 +242,15 @@
   entry.own_round = next_round_++;
   entry.own_asked = now;
   entry.vouched = !Recovering(now);
-  entry.asked = entry.pending = 0;
+  entry.asked.Clear();
+  entry.pending.Clear();
   entry.ask_at = now + AskEvery();
   return Settle(entry, now);
 }
 
 void Keeper::AskAgain(Entry& entry, TimePoint now) {
   const ClaimRecord claim = ToClaim(entry);
-  ForEachRank(entry.pending, [&](int rank) { peers_.Queue(rank, claim, true, now); });
+  for (const int rank : entry.pending) peers_.Queue(rank, claim, true, now);
   entry.ask_at = now + AskEvery();
 }
 
@@ -264,12 +258,21 @@
 bool Keeper::Settle(Entry& entry, TimePoint now) {
   if (entry.state != State::kAsking) return true;
   // Where one is away, the next in order takes its place.
-  const std::uint64_t witnesses = Witnesses(entry, now);
   const ClaimRecord claim = ToClaim(entry);
-  ForEachRank(witnesses & ~entry.asked, [&](int rank) { peers_.Queue(rank, claim, true, now); });
-  entry.pending = (entry.pending & witnesses) | (witnesses & ~entry.asked);
-  entry.asked |= witnesses;
-  if (entry.pending != 0) return true;
+  RankSet pending;
+  for (const int rank : Witnesses(entry, now)) {
+    if (!entry.asked.Has(rank)) {
+      peers_.Queue(rank, claim, true, now);
+      pending.Add(rank);
+      // Where there is no room it is asked again, and at the end not told that nothing came of it: it forgets
+      // by itself.
+      entry.asked.Add(rank);
+    } else if (entry.pending.Has(rank)) {
+      pending.Add(rank);
+    }
+  }
+  entry.pending = pending;
+  if (!entry.pending.empty()) return true;
   if (!entry.vouched) {
     ++counts_.unvouched;
     if (limits_.unvouched == Unvouched::kDefer) {
@@ -369,7 +372,9 @@
 
 void Keeper::Withdraw(const Entry& entry, int except, TimePoint now) {
   const OutcomeRecord record{.key = entry.key, .round = entry.own_round, .released = 1};
-  ForEachRank(entry.asked & ~Bit(except), [&](int rank) { peers_.Queue(rank, record, false, now); });
+  for (const int rank : entry.asked) {
+    if (rank != except) peers_.Queue(rank, record, false, now);
+  }
 }
 
 void Keeper::TellOutcome(const Entry& entry, Phase phase, TimePoint now) {
@@ -378,7 +383,7 @@
                              .released = 0,
                              .phase = phase,
                              .age_ms = ToMs(now - entry.sent)};
-  ForEachRank(entry.interested, [&](int rank) { peers_.Queue(rank, record, false, now); });
+  for (const int rank : entry.interested) peers_.Queue(rank, record, false, now);
 }
 
 void Keeper::Refuse(Entry& entry, TimePoint now) {
@@ -525,8 +530,8 @@
   return Rendezvous(key, place(rank)) > Rendezvous(key, place(place_.rank));
 }
 
-std::uint64_t Keeper::Witnesses(const Entry& entry, TimePoint now) const {
-  if (!place_.has_peers) return 0;
+RankSet Keeper::Witnesses(const Entry& entry, TimePoint now) const {
+  if (!place_.has_peers) return {};
   const Work& work = entry.waiters.front().work;
   const int size = std::min(place_.group_size, kMaxPeers);
   std::vector<std::pair<std::uint64_t, int>> order;
@@ -537,9 +542,11 @@
   }
   std::sort(order.rbegin(), order.rend());
   if (order.size() > limits_.witnesses) order.resize(limits_.witnesses);
-  std::uint64_t out = 0;
-  for (const auto& [score, rank] : order) out |= Bit(rank);
-  return out & ~Bit(place_.rank);
+  RankSet out;
+  for (const auto& [score, rank] : order) {
+    if (rank != place_.rank) out.Add(rank);
+  }
+  return out;
 }
 
 // By weighted rendezvous: each pod gets keys by its ready next hops, and a change moves only what it must.
@@ -588,7 +595,7 @@
           .round = round,
           .verdict = Verdict::kHeld,
           .mark = elsewhere ? entry.round : entry.own_round,
-          .holder = elsewhere ? entry.holder : static_cast<std::uint8_t>(place_.rank),
+          .holder = elsewhere ? entry.holder : static_cast<std::uint16_t>(place_.rank),
           .holder_life = elsewhere ? entry.holder_life : place_.life,
           .phase = PhaseOf(entry),
           .has_pod = entry.has_pod,
@@ -606,7 +613,7 @@
     entry.state = State::kElsewhere;
     entry.phase = Phase::kRunning;
     entry.applied = entry.following = false;
-    entry.holder = static_cast<std::uint8_t>(from);
+    entry.holder = static_cast<std::uint16_t>(from);
     entry.holder_life = life;
     entry.round = claim.round;
     entry.has_pod = claim.has_pod != 0;
@@ -648,7 +655,7 @@
     return vote(Clear(now));
   }
   if (!same) return vote(Verdict::kOther);
-  entry->interested |= Bit(from);
+  entry->interested.Add(from);
   peers_.Queue(from, ToHeld(*entry, claim.round, now), false, now);
 }
 
@@ -668,7 +675,7 @@
   switch (vote.verdict) {
     case Verdict::kClear:
     case Verdict::kClearFresh:
-      entry.pending &= ~Bit(from);
+      entry.pending.Remove(from);
       entry.vouched = entry.vouched || vote.verdict == Verdict::kClear;
       return Settle(entry, now);
     case Verdict::kOther:
@@ -687,7 +694,7 @@
                        vote.holder_life == entry.cleared_life && vote.mark < entry.cleared_mark;
   if ((our_own && vote.holder_life == place_.life) || cleared) {
     // A claim that was withdrawn, by the later word of the one who made it.
-    entry.pending &= ~Bit(from);
+    entry.pending.Remove(from);
     return Settle(entry, now);
   }
   if (our_own) {
@@ -825,7 +832,7 @@
     ++counts_.fetched;
     entry->fetching = false;
     entry->applied = true;
-    entry->asked |= Bit(from);
+    entry->asked.Add(from);
     ledger_.MarkAnswered(*entry);
     ServeAll(*entry, std::string(entry->answer));
   } else if (missing >= window_end) {
--- a/src/idempotency/keeper.h
+++ b/src/idempotency/keeper.h
@@ -133,7 +133,7 @@
   bool Lost(const Entry& entry, TimePoint now) const;  // its holder is away, or not in that life any more
   // The others of the customer's gatekeepers that are to note the key down, as bits: of those that live, the
   // first by rendezvous, this one counted too. All that ask for a key ask the same ones.
-  std::uint64_t Witnesses(const Entry& entry, TimePoint now) const;
+  RankSet Witnesses(const Entry& entry, TimePoint now) const;
   std::optional<Pod> HomePod(const KeyId& key) const;
   Duration AskEvery() const;
   Verdict Clear(TimePoint now) const;
--- a/src/idempotency/ledger.h
+++ b/src/idempotency/ledger.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "idempotency/rank_set.h"
 #include "idempotency/types.h"
 #include "idempotency/wire.h"
 
@@ -75,17 +76,18 @@
   Duration window{0};
   WaiterId running = 0;  // kRunning: whose request is out
   // Between gatekeepers:
-  std::uint32_t own_round = 0;   // of our last question ...
-  TimePoint own_asked{0};        // ... and when it first went out
-  std::uint32_t round = 0;       // kElsewhere: of the holder's claim
-  std::uint64_t pending = 0;     // kAsking: ranks whose votes are missing, as bits
-  std::uint64_t asked = 0;       // ranks that may have noted our claim down
-  std::uint64_t interested = 0;  // ranks that asked about it: they are told how it ends
-  std::uint8_t holder = 0;       // kElsewhere
+  std::uint32_t own_round = 0;  // of our last question ...
+  TimePoint own_asked{0};       // ... and when it first went out
+  std::uint32_t round = 0;      // kElsewhere: of the holder's claim
+  RankSet pending;              // kAsking: those whose votes are missing
+  RankSet asked;                // those that may have noted our claim down
+  RankSet interested;           // those that asked about it: they are told how it ends
+  std::uint16_t holder = 0;     // kElsewhere
   std::uint64_t holder_life = 0;
-  Phase phase = Phase::kRunning;       // kElsewhere: what the holder last said
-  std::uint8_t cleared_holder = 0xff;  // said itself, in the life below, that it holds nothing: what others
-  std::uint64_t cleared_life = 0;      // remember of its claims before this round is out of date
+  Phase phase = Phase::kRunning;  // kElsewhere: what the holder last said
+  std::uint16_t cleared_holder =
+      0xffff;                      // said itself, in the life below, that it holds nothing: what others
+  std::uint64_t cleared_life = 0;  // remember of its claims before this round is out of date
   std::uint32_t cleared_mark = 0;
   std::uint32_t total = 0;          // fetching: bytes of the whole answer; 0: not known yet
   std::uint16_t first_missing = 0;  // fetching: fragment
--- a/src/idempotency/peers.cpp
+++ b/src/idempotency/peers.cpp
@@ -17,7 +17,7 @@
 
 Peers::Peers(int own_rank, int group_size, std::uint64_t life, const Limits& limits)
     : limits_(limits),
-      own_{static_cast<std::uint8_t>(own_rank), life},
+      own_{static_cast<std::uint16_t>(own_rank), life},
       peers_(static_cast<std::size_t>(std::clamp(group_size, 1, kMaxPeers))) {}
 
 void Peers::Queue(int rank, const Record& record, bool wants_answer, TimePoint now) {
--- a/src/idempotency/peers.h
+++ b/src/idempotency/peers.h
@@ -1,8 +1,8 @@
 // The other gatekeepers of the group as the keeper sees them: what waits to be sent to each, at what pace,
 // who answers, and which life each is in. Free of I/O and clock.
 //
-// Bounds: 64 peers; 512 records wait for each at most (the newest is dropped beyond that: every record is
-// either asked for again or only saves a question later).
+// Bounds: kMaxPeers peers; 512 records wait for each at most (the newest is dropped beyond that: every record
+// is either asked for again or only saves a question later).
 #ifndef POSTSPREAD_IDEMPOTENCY_PEERS_H_
 #define POSTSPREAD_IDEMPOTENCY_PEERS_H_
 
@@ -18,7 +18,7 @@
 
 namespace postspread::idempotency {
 
-inline constexpr int kMaxPeers = 64;
+inline constexpr int kMaxPeers = 1'000;  // as many as the view of the fleet holds
 
 class Peers {
  public:
--- /dev/null
+++ b/src/idempotency/rank_set.h
@@ -0,0 +1,41 @@
+// A few gatekeepers of a group of any size, by rank: what an entry of the store notes of others. Small, for
+// there is one for each key; whoever finds no room in it is not noted.
+#ifndef POSTSPREAD_IDEMPOTENCY_RANK_SET_H_
+#define POSTSPREAD_IDEMPOTENCY_RANK_SET_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+
+namespace postspread::idempotency {
+
+class RankSet {
+ public:
+  static constexpr std::size_t kMost = 15;
+
+  bool empty() const { return size_ == 0; }
+  const std::uint16_t* begin() const { return ranks_.data(); }
+  const std::uint16_t* end() const { return ranks_.data() + size_; }
+  bool Has(int rank) const { return std::find(begin(), end(), rank) != end(); }
+  // False where there is no room.
+  bool Add(int rank) {
+    if (Has(rank)) return true;
+    if (size_ == kMost) return false;
+    ranks_[size_++] = static_cast<std::uint16_t>(rank);
+    return true;
+  }
+  void Remove(int rank) {
+    const auto last = std::remove(ranks_.begin(), ranks_.begin() + size_, rank);
+    size_ = static_cast<std::uint16_t>(last - ranks_.begin());
+  }
+  void Clear() { size_ = 0; }
+  bool operator==(const RankSet&) const = default;
+
+ private:
+  std::array<std::uint16_t, kMost> ranks_{};
+  std::uint16_t size_ = 0;
+};
+
+}  // namespace postspread::idempotency
+
+#endif  // POSTSPREAD_IDEMPOTENCY_RANK_SET_H_
--- a/src/idempotency/wire.cpp
+++ b/src/idempotency/wire.cpp
@@ -8,7 +8,7 @@
 namespace postspread::idempotency {
 namespace {
 
-constexpr std::string_view kMagic{"PSK\1", 4};
+constexpr std::string_view kMagic{"PSK\2", 4};
 
 template <typename T>
 constexpr bool kIsNumber = std::is_integral_v<T> || std::is_enum_v<T>;
--- a/src/idempotency/wire.h
+++ b/src/idempotency/wire.h
@@ -1,7 +1,7 @@
 // Datagrams between the keepers of one group: a header and records, 256 bytes at most. Numbers are
 // little-endian. A datagram that is cut, of another version or spoilt (checksum) is refused whole.
 //
-//   header  "PSK" 1 | rank u8 | life u64 | checksum u32 of all behind it          17 bytes
+//   header  "PSK" 2 | rank u16 | life u64 | checksum u32 of all behind it          18 bytes
 //   record  kind u8 and its members, in the order of the structs below
 #ifndef POSTSPREAD_IDEMPOTENCY_WIRE_H_
 #define POSTSPREAD_IDEMPOTENCY_WIRE_H_
@@ -47,7 +47,7 @@
   // of an earlier claim of the voter's is out of date.
   std::uint32_t mark = 0;
   // With kHeld:
-  std::uint8_t holder = 0;
+  std::uint16_t holder = 0;
   std::uint64_t holder_life = 0;
   Phase phase = Phase::kRunning;
   std::uint8_t has_pod = 0;
@@ -88,11 +88,11 @@
 using Record = std::variant<ClaimRecord, VoteRecord, OutcomeRecord, FetchRecord, FragmentRecord>;
 
 struct Header {
-  std::uint8_t rank = 0;
+  std::uint16_t rank = 0;
   std::uint64_t life = 0;  // higher with each start
 };
 
-inline constexpr std::size_t kHeaderBytes = 17;
+inline constexpr std::size_t kHeaderBytes = 18;
 
 std::string EncodeRecord(const Record& record);
 // Puts a header before records that are encoded already.
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -74,7 +74,7 @@
   cfg_set_validate_func(root, "idempotency|memory", Within<64L << 10, 1L << 30, ' ', 'b'>);
   cfg_set_validate_func(root, "idempotency|keep", Within<1'000, 3'600'000, 'm', 's'>);
   cfg_set_validate_func(root, "idempotency|max_waiters", Within<1, 4'096>);
-  cfg_set_validate_func(root, "idempotency|witnesses", Within<1, 64>);
+  cfg_set_validate_func(root, "idempotency|witnesses", Within<1, 15>);
   cfg_set_validate_func(root, "idempotency|datagrams_per_second", Within<1, 100'000>);
   cfg_set_validate_func(root, "idempotency|peer_silent", Within<100, 60'000, 'm', 's'>);
 }
--- a/tests/idempotency/cluster_test.cpp
+++ b/tests/idempotency/cluster_test.cpp
@@ -31,6 +31,32 @@
   }
 }
 
+TEST_CASE(
+    "repeats through the last of a hundred gatekeepers are one change, and a holder gone by the view is not "
+    "asked") {
+  Cluster cluster(100, Fast(), 3);
+  std::vector<WaiterId> all;
+  for (int i = 0; i < 12; ++i) all.push_back(cluster.Send(88 + i, "k"));
+  cluster.Run(seconds(8));
+  CHECK(cluster.sent_to(1) + cluster.sent_to(2) + cluster.sent_to(3) == 1);
+  for (const WaiterId waiter : all) CHECK(cluster.AnswerOf(waiter)->told == Told::kServed);
+
+  // Its witness knows that 95 holds the key; 95 is killed, and the view says so before silence could.
+  cluster.treat = [](const KeyId&, std::int64_t) { return Treatment{.service = seconds(1)}; };
+  cluster.Send(95, "held");
+  cluster.Run(milliseconds(200));
+  cluster.Kill(95);
+  std::vector<Peers::Seen> view(100);
+  view[95].gone = true;
+  for (int i = 0; i < 100; ++i) {
+    if (cluster.alive(i)) cluster.keeper(i).SetView(view);
+  }
+  const WaiterId again = cluster.Send(96, "held");
+  cluster.Run(milliseconds(1'400));  // silence alone would take 1.5 s to tell
+  CHECK(cluster.AnswerOf(again)->told == Told::kServed);
+  CHECK(cluster.applied("held") == 1);
+}
+
 TEST_CASE("an attempt that may have run: repeats go to its pod within the window, and nowhere after it") {
   Cluster cluster(3, Fast(), 7);
   std::set<std::int64_t> pods;
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -360,5 +360,32 @@
   }
 }
 
+TEST_CASE("what is new goes out at once, however much is on its way") {
+  for (const Without without : {Without::kNothing, Without::kOrder}) {
+    Limits limits;
+    limits.enabled = true;
+    TimePoint now = seconds(1'000'000);
+    Fleet fleet({"gk-0", 0, 1'000'000'000}, {0, 1}, limits, 1, now, without);
+    const auto hear = [&](const std::string& name) {
+      Message head{.kind = Kind::kGossip, .sender = {"gk-1", 0, {999'000'000, 0, State::kAlive}, true}};
+      Writer writer(DigestFleet("fleet"), head, 256);
+      writer.Add(name, 7, {999'000'000, 0, State::kAlive}, true);
+      fleet.Received(1, std::move(writer).Seal(), now);
+    };
+    for (int i = 0; i < 100; ++i) hear("old-" + std::to_string(i));
+    for (int i = 0; i < 15; ++i) fleet.Tick(now = fleet.NextTick());
+    fleet.TakeDatagrams();
+    hear("new");
+    fleet.Tick(now = fleet.NextTick());
+    bool told = false;
+    for (const Fleet::Datagram& d : fleet.TakeDatagrams()) {
+      Message message;
+      REQUIRE(Read(d.bytes, DigestFleet("fleet"), message) == Fault::kNone);
+      for (const Entry& entry : message.entries) told = told || (entry.name == "new" && entry.news);
+    }
+    CHECK(told == (without == Without::kNothing));
+  }
+}
+
 }  // namespace
 }  // namespace postspread::membership
--- a/tests/ops/ops_test.cpp
+++ b/tests/ops/ops_test.cpp
@@ -66,6 +66,7 @@
   CHECK(Call("GET", "/v1/gatekeeper/drain", desk).allow == "PUT");
   for (const int wanted : {200, 409}) {
     desk.stopping = wanted == 409;
+    CHECK(status("GET", "/v1/fleet") == (desk.stopping ? 404 : 200));
     CHECK(status("PUT", "/v1/gatekeeper/drain") == wanted);
     CHECK(status("PUT", "/v1/gatekeeper/activate") == wanted);
   }
