Tell the newest word first among those told equally often; test of the order of news

Cause: words told equally often went out in any order, so a fresh one could wait behind hundreds of others of the same age (seen in the test: 400 on their way, the fresh one not in the next beat's datagrams). Change: the newest first among equals. The test is red with the order off.

--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -110,11 +110,13 @@
   Writer writer(fleet_, head, limits_.datagram);
   if (draft.about != nullptr) writer.Add(draft.about->name, draft.about->place, draft.about->word, false);
   if (draft.news && !queue_.empty()) {
-    // Those told least often first: what is new goes out at once however much is on its way.
+    // Those told least often first, and of these the newest: it goes out at once however much is on its way.
     if (without_ != Without::kOrder) {
       const auto most = static_cast<std::ptrdiff_t>(std::min(queue_.size(), kMostWords));
       std::partial_sort(queue_.begin(), queue_.begin() + most, queue_.end(),
-                        [](const Known* a, const Known* b) { return a->told < b->told; });
+                        [](const Known* a, const Known* b) {
+                          return a->told != b->told ? a->told < b->told : a->since > b->since;
+                        });
     }
     for (Known* known : queue_) {
       if (known == draft.about) continue;
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -372,8 +372,8 @@
       writer.Add(name, 7, {999'000'000, 0, State::kAlive}, true);
       fleet.Received(1, std::move(writer).Seal(), now);
     };
-    for (int i = 0; i < 100; ++i) hear("old-" + std::to_string(i));
-    for (int i = 0; i < 15; ++i) fleet.Tick(now = fleet.NextTick());
+    for (int i = 0; i < 400; ++i) hear("old-" + std::to_string(i));
+    for (int i = 0; i < 9; ++i) fleet.Tick(now = fleet.NextTick());
     fleet.TakeDatagrams();
     hear("new");
     fleet.Tick(now = fleet.NextTick());
