--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -58,6 +58,7 @@
   out.demand = operators.demand;
   out.has_peers = peers.has_value();
   out.fleet = operators.fleet;
+  out.concert = operators.concert;
   out.name = config.name;
   out.may_be_succeeded = config.inherited.has_value();
   out.without = without;
@@ -483,7 +484,8 @@
                            operators.idempotency.memory != operators_.idempotency.memory;
   const bool fleet_differs =
       operators.fleet.enabled != operators_.fleet.enabled || operators.fleet.name != operators_.fleet.name ||
-      operators.fleet.seeds != operators_.fleet.seeds || operators.fleet.listen != operators_.fleet.listen;
+      operators.fleet.seeds != operators_.fleet.seeds || operators.fleet.listen != operators_.fleet.listen ||
+      operators.concert != operators_.concert;
   const bool times_differ = config.settings.dial_timeout != config_.settings.dial_timeout ||
                             config.settings.counter_timeout != config_.settings.counter_timeout;
   const bool more = config.name != config_.name || !(config.listen == config_.listen) ||
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -134,6 +134,12 @@
   return out;
 }
 
+concert::Limits DecodeConcert(cfg_t* block) {
+  return {.subsets = cfg_getbool(block, "subsets") == cfg_true,
+          .nodes = static_cast<std::size_t>(cfg_getint(block, "nodes")),
+          .least = static_cast<std::size_t>(cfg_getint(block, "least"))};
+}
+
 }  // namespace
 
 OperatorFile Decode(const std::string& text, const std::string& name) {
@@ -166,9 +172,17 @@
       CFG_INT_CB("suspicion", fleet.suspicion.count(), CFGF_NONE, ParseSpan),
       CFG_INT_CB("forget", fleet.forget.count(), CFGF_NONE, ParseSpan),
       CFG_END()};
+  const concert::Limits concert;
+  cfg_opt_t concert_block[] = {
+      CFG_BOOL_CB("subsets", concert.subsets ? cfg_true : cfg_false, CFGF_NONE, ParseFlag),
+      CFG_INT_CB("nodes", static_cast<long>(concert.nodes), CFGF_NONE, ParseCount),
+      CFG_INT_CB("least", static_cast<long>(concert.least), CFGF_NONE, ParseCount), CFG_END()};
   cfg_opt_t blocks[] = {CFG_SEC("idempotency", idempotency_block, CFGF_NONE),
-                        CFG_SEC("demand", demand_block, CFGF_NONE), CFG_SEC("fleet", fleet_block, CFGF_NONE),
-                        CFG_BOOL(kEnd, cfg_false, CFGF_NONE), CFG_END()};
+                        CFG_SEC("demand", demand_block, CFGF_NONE),
+                        CFG_SEC("fleet", fleet_block, CFGF_NONE),
+                        CFG_SEC("concert", concert_block, CFGF_NONE),
+                        CFG_BOOL(kEnd, cfg_false, CFGF_NONE),
+                        CFG_END()};
 
   const ConfigHandle root(cfg_init(blocks, CFGF_NONE));
   if (!root) throw OperatorError(name + ": not enough memory to read it");
@@ -177,6 +191,8 @@
   cfg_set_error_function(root.get(), KeepError);
   CheckIdempotency(root.get());
   CheckFleet(root.get());
+  cfg_set_validate_func(root.get(), "concert|nodes", Within<2, 1'000>);
+  cfg_set_validate_func(root.get(), "concert|least", Within<1, 1'000>);
   const bool is_text = text.find('\0') == std::string::npos;
   const int result =
       is_text ? cfg_parse_buf(root.get(), (text + "\n" + kEnd + " = true\n").c_str()) : CFG_FILE_ERROR;
@@ -187,7 +203,8 @@
   }
   return {.idempotency = DecodeIdempotency(cfg_getsec(root.get(), "idempotency")),
           .demand = {.tell = cfg_getbool(cfg_getsec(root.get(), "demand"), "tell") == cfg_true},
-          .fleet = DecodeFleet(cfg_getsec(root.get(), "fleet"), name)};
+          .fleet = DecodeFleet(cfg_getsec(root.get(), "fleet"), name),
+          .concert = DecodeConcert(cfg_getsec(root.get(), "concert"))};
 }
 
 OperatorFile Load(const std::string& path) {
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "concert/subset.h"
 #include "demand/limits.h"
 #include "idempotency/limits.h"
 #include "membership/types.h"
@@ -23,6 +24,7 @@
   idempotency::Limits idempotency;
   demand::Limits demand;
   membership::Limits fleet;
+  concert::Limits concert;
   bool operator==(const OperatorFile&) const = default;
 };
 
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -91,7 +91,8 @@
       start_(now),
       last_(wall),
       settings_(std::move(settings)),
-      controller_(settings_, seed, wall) {
+      controller_(settings_, seed, wall),
+      concert_(extras.concert) {
   if (extras.demand.tell && extras.has_peers && settings_.can_tell) {
     board_.emplace(demand::Place{settings_.group_size, settings_.mail_per_s, seed}, wall);
   }
@@ -149,9 +150,53 @@
   return steps_;
 }
 
+// This gatekeeper's place among those that choose: by the view of the fleet, or all of the settings' group.
+concert::Seat Planner::Seat() const {
+  if (!fleet_)
+    return {static_cast<std::size_t>(settings_.rank), static_cast<std::size_t>(settings_.group_size)};
+  std::vector<std::string> members;
+  for (const membership::Member& member : fleet_->view().members) {
+    if (membership::Lives(member.word.state)) members.push_back(member.name);
+  }
+  return concert::SeatOf(fleet_->name(), members);
+}
+
+// Next hops that others use are told to the decisions as draining: what is under way there ends, nothing new
+// begins. `report` comes to name all whose state changes by it.
+void Planner::Choose(RosterReport& report) {
+  const bool by_pod = std::any_of(
+      settings_.classes.begin(), settings_.classes.end(),
+      [](const ClassSettings& c) { return c.repeat == Repeat::kKeyed && c.scope != Scope::kAll; });
+  std::vector<concert::Node> nodes;
+  for (const auto& [name, hop] : hops_) {
+    nodes.push_back({name, hop.zone, hop.cell, hop.weight, hop.state == HopState::kReady});
+  }
+  std::unordered_set<std::string> chosen;
+  for (const concert::Place& place : concert::Subset(concert_, Seat(), settings_.zone, by_pod, nodes)) {
+    chosen.insert(nodes[place.node].name);
+  }
+  if (report.scope == RosterScope::kChanges) {
+    std::unordered_set<std::string> named;
+    for (const NextHop& hop : report.next_hops) named.insert(hop.name);
+    for (const auto& [name, hop] : hops_) {
+      if (!named.contains(name) && chosen.contains(name) != chosen_.contains(name))
+        report.next_hops.push_back(hop);
+    }
+  }
+  chosen_ = std::move(chosen);
+  for (NextHop& hop : report.next_hops) {
+    if (hop.state == HopState::kReady && !chosen_.contains(hop.name)) hop.state = HopState::kDraining;
+  }
+}
+
 // Who lives, to those that count on others. Where the view goes by addresses of its own, ranks are not known
 // by it.
 void Planner::HandView() {
+  if (concert_.subsets) {
+    RosterReport moved{.scope = RosterScope::kChanges, .index = roster_index_, .next_hops = {}};
+    Choose(moved);
+    if (!moved.next_hops.empty()) Handle(ToEvent(std::move(moved)), last_);
+  }
   if (fleet_->by_address()) return;
   if (board_) board_->SetGroup(static_cast<int>(fleet_->living()));
   if (!keeper_) return;
@@ -234,9 +279,11 @@
   } else if (const auto* gone = std::get_if<SenderGone>(&report); gone != nullptr && Holds(gone->envelope)) {
     Carry(keeper_->WaiterGone(gone->envelope, at), at);
   } else {
-    if (const auto* roster = std::get_if<RosterReport>(&report); roster != nullptr && keeper_) {
+    if (auto* roster = std::get_if<RosterReport>(&report);
+        roster != nullptr && (keeper_ || concert_.subsets)) {
       NoteRoster(*roster);
-      RefreshPods(at);
+      if (concert_.subsets) Choose(*roster);
+      if (keeper_) RefreshPods(at);
     }
     auto* attempt = std::get_if<AttemptReport>(&report);
     if (attempt != nullptr && attempt->result == AttemptResult::kServed && Keeps(attempt->envelope)) {
@@ -393,6 +440,7 @@
       hops_[hop.name] = hop;
     }
   }
+  roster_index_ = report.index;
   pods_at_ = TimePoint(0);
 }
 
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -10,9 +10,11 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
+#include "concert/subset.h"
 #include "demand/board.h"
 #include "demand/limits.h"
 #include "envelope.h"
@@ -34,6 +36,7 @@
     demand::Limits demand;
     bool has_peers = false;  // datagrams can be sent to the other gatekeepers
     membership::Limits fleet{};
+    concert::Limits concert{};
     std::string name{};           // this gatekeeper's, in the view of the fleet
     membership::Place place = 0;  // where it is reached, as `seeds` count
     std::vector<membership::Place> seeds{};
@@ -111,6 +114,8 @@
   void Settle(TimePoint now);
   void CarryFleet();
   void HandView();
+  void Choose(RosterReport& report);
+  concert::Seat Seat() const;
   void NoteRoster(const RosterReport& report);
   void RefreshPods(TimePoint now);
   void Handle(const Event& event, TimePoint now);
@@ -144,12 +149,17 @@
   std::vector<Action> actions_;
   // The store of keys, where it is on.
   std::optional<idempotency::Keeper> keeper_;
+  // Kept where subsets are on, too.
   std::unordered_map<std::string, NextHop> hops_;   // by name, but for those that are gone
   std::unordered_map<std::int64_t, NextHop> pods_;  // one of each pod's
   TimePoint pods_at_{0};
   std::vector<Ended> ended_;
   // What gatekeepers tell one another of customers, where they may.
   std::optional<demand::Board> board_;
+  // Of the next hops, the ones that this gatekeeper uses, where it uses a part.
+  concert::Limits concert_;
+  std::unordered_set<std::string> chosen_;
+  std::uint64_t roster_index_ = 0;
   // Which gatekeepers live, where this installation wants to know.
   std::optional<membership::Fleet> fleet_;
   std::vector<Step> steps_;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -191,6 +192,55 @@
   CHECK_FALSE(begins_alone("k3"));
 }
 
+TEST_CASE(
+    "a gatekeeper of many uses its part of the next hops, and a place that falls empty is filled at once") {
+  Settings settings = Site(false);
+  settings.group_size = 100;
+  Planner::Extras extras;
+  extras.concert.subsets = true;
+  Clock::time_point now{seconds(50)};
+  Planner planner(settings, 1, seconds(1'000'000), now, extras);
+  RosterReport roster;
+  for (int i = 0; i < 60; ++i)
+    roster.next_hops.push_back({.name = "s-" + std::to_string(i), .zone = "z", .kind = "k"});
+  planner.Report(roster, now);
+  const auto used = [&] {  // by requests that are all under way at once
+    std::set<std::string> out;
+    std::vector<AttemptReport> ended;
+    for (int i = 0; i < 60; ++i) {
+      const Planner::Picked picked = planner.Pick({.class_name = "lookup",
+                                                   .plan = "team",
+                                                   .customer = std::to_string(i),
+                                                   .patience = seconds(2),
+                                                   .units = 1},
+                                                  now);
+      for (const Step& step : picked.steps) {
+        const auto* deliver = std::get_if<Deliver>(&step);
+        if (deliver == nullptr) continue;
+        out.insert(deliver->next_hop);
+        ended.push_back(
+            {.envelope = picked.number, .next_hop = deliver->next_hop, .elapsed = milliseconds(5)});
+      }
+    }
+    now += milliseconds(5);
+    for (const AttemptReport& report : ended) planner.Report(report, now);
+    now += seconds(2);
+    return out;
+  };
+  const std::set<std::string> before = used();
+  CHECK(before.size() >= 4);
+  CHECK(before.size() <= 8);
+  // All of these drain, by a list of changes: others are used from the next request on.
+  RosterReport changes{.scope = RosterScope::kChanges, .index = 1, .next_hops = {}};
+  for (const std::string& name : before) {
+    changes.next_hops.push_back({.name = name, .zone = "z", .kind = "k", .state = HopState::kDraining});
+  }
+  planner.Report(changes, now);
+  const std::set<std::string> after = used();
+  CHECK(after.size() >= 4);
+  for (const std::string& name : after) CHECK_FALSE(before.contains(name));
+}
+
 TEST_CASE("an envelope is delivered, and a failed attempt goes to another next hop") {
   Bench bench;
   const EnvelopeNumber number = bench.Pick();
