SIGHUP leaves what the view's places and datagrams go by as it was at the start

Cause: Fleet::SetLimits took on listen and seeds of a reloaded file, though the socket and the ranks are the start's: by_address() could turn over in mid-service. Seen by reading; the reload's test (real processes, times taken on, the rest told) is new.

--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -72,9 +72,11 @@
 }
 
 void Fleet::SetLimits(const Limits& limits) {
-  const std::string name = limits_.name;
-  limits_ = limits;
-  limits_.name = name;
+  const Limits before = std::exchange(limits_, limits);
+  // What the datagrams and places go by stays as it was at the start.
+  limits_.name = before.name;
+  limits_.seeds = before.seeds;
+  limits_.listen = before.listen;
 }
 
 // ---- What is sent, within the budget ----
--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -133,6 +133,26 @@
   Sound(rig);
 }
 
+TEST_CASE("a reload takes on the view's times, and says what only a start can take on") {
+  Options options{.gatekeepers = 3, .period = milliseconds(1'000), .suspicion = milliseconds(30'000)};
+  Rig rig(options);
+  rig.StartAll();
+  HOLDS(rig, rig.AllAgree(), 20);
+  rig.Kill(2);
+  options.period = milliseconds(100);
+  options.suspicion = milliseconds(300);
+  rig.WriteOperators(options);
+  for (const int i : {0, 1}) rig.Reload(i);
+  HOLDS(rig, rig.AllAgree(), 5);  // of the former periods: with the former suspicion it would take thirty
+  CHECK_FALSE(rig.Logged(0, "configuration changed beyond that"));
+  options.view = false;
+  rig.WriteOperators(options);
+  rig.Reload(0);
+  HOLDS(rig, rig.Logged(0, "configuration changed beyond that"), 5);
+  CHECK(rig.Agree({0, 1}));
+  Sound(rig);
+}
+
 TEST_CASE("a cut in the middle of a leave, and garbage at full speed while a member dies") {
   Rig rig({.gatekeepers = 4});
   rig.StartAll();
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -80,12 +80,7 @@
     if (cut_pairs_.contains({from, to}) || cut_off_.contains(from) || cut_off_.contains(to)) return true;
     return !sides_.empty() && sides_[static_cast<std::size_t>(from)] != sides_[static_cast<std::size_t>(to)];
   };
-  std::ofstream(folder_ + "/operator.conf")
-      << "fleet {\n enabled = " << (options_.view ? "true" : "false")
-      << "\n name = \"rig\"\n period = " << options_.period.count()
-      << "ms\n suspicion = " << options_.suspicion.count() << "ms\n forget = " << options_.forget.count()
-      << "ms\n datagrams_per_second = " << static_cast<long>(options_.datagrams_per_second) << "\n}\n"
-      << options_.more;
+  WriteOperators(options_);
   for (int i = 0; i < options_.gatekeepers; ++i) {
     gatekeepers_.push_back(std::make_unique<Gatekeeper>());
     Gatekeeper& g = at(i);
@@ -172,6 +167,15 @@
   return out;
 }
 
+void Rig::WriteOperators(const Options& values) {
+  std::ofstream(folder_ + "/operator.conf")
+      << "fleet {\n enabled = " << (values.view ? "true" : "false")
+      << "\n name = \"rig\"\n period = " << values.period.count()
+      << "ms\n suspicion = " << values.suspicion.count() << "ms\n forget = " << values.forget.count()
+      << "ms\n datagrams_per_second = " << static_cast<long>(values.datagrams_per_second) << "\n}\n"
+      << values.more;
+}
+
 // ---- Faults ----
 
 void Rig::Say(const std::string& what) {
@@ -227,6 +231,10 @@
   at(i).leaving = true;
   Disturb(i);
 }
+void Rig::Reload(int i) {
+  Say("reload " + options_.name(i));
+  at(i).process->Signal(SIGHUP);
+}
 void Rig::StartSuccessor(int i) {
   Say("start a successor of " + options_.name(i));
   Gatekeeper& g = at(i);
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -63,6 +63,10 @@
   void Stop(int i);       // SIGSTOP
   void Continue(int i);   // SIGCONT
   void Terminate(int i);  // SIGTERM; Run or Until lets it end
+  // Replaces the operator file of all, for starts and reloads from then on, by the rig's own block with these
+  // values and this text behind it.
+  void WriteOperators(const Options& values);
+  void Reload(int i);  // SIGHUP
   // A second process beside the one that runs, which stays `i`; returns when it was started.
   void StartSuccessor(int i);
   void EndFormer(int i);
