--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -166,13 +166,15 @@
   rig.Start(3);
   HOLDS(rig, rig.AllAgree(), kSettle);
 
+  bool flooding = true;
   std::function<void()> flood = [&] {
+    if (!flooding) return;
     for (int i = 0; i < 200; ++i) {
       std::string bytes = i % 2 == 0 ? "PSV\1" : "";
       for (std::uint64_t n = rig.random()() % 250; n > 0; --n) bytes += static_cast<char>(rig.random()());
       rig.datagrams().Inject(1, 0, bytes);
     }
-    partners::After(rig.base(), milliseconds(5), flood);  // as long as the rig runs
+    partners::After(rig.base(), milliseconds(5), [&] { flood(); });
   };
   flood();
   rig.Run(milliseconds(500));
@@ -182,6 +184,8 @@
   CHECK(rig.Figure(0, "svc_fleet_dropped{cause=\"unreadable\"}") +
             rig.Figure(0, "svc_fleet_dropped{cause=\"foreign\"}") >
         1'000);
+  flooding = false;
+  rig.Run(milliseconds(50));
   Sound(rig);
 }
 
