--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -5,8 +5,9 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <cmath>
+#include <fstream>
 #include <iostream>
+#include <random>
 
 #include "fleet/rig.h"
 #include "membership/model.h"
@@ -29,6 +30,7 @@
   std::uint64_t seed = 1;
   double rate = 140;  // requests a second to each gatekeeper, in the part that measures CPU
   int cost_s = 30;
+  std::string write, play;  // a file of faults
 };
 
 double Share(std::vector<double> values, double share) {
@@ -38,6 +40,13 @@
                          static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
+struct Fault {
+  enum Kind { kKill, kShortStop, kLongStop, kSplit, kLeave, kCutOff };
+  int kind = kKill;
+  std::uint64_t pick = 0;  // of the member among those that live, or of sides, by its bits
+  int ms = 0;              // how much longer than the least
+};
+
 class Run {
  public:
   explicit Run(const Settings& settings) : settings_(settings) {}
@@ -58,6 +67,26 @@
     if (broken_.size() < 20) broken_.push_back(sentence);
   }
 
+  // Drawn from the seed, or as a file has them: a line a fault.
+  std::vector<Fault> Timetable(int part) {
+    std::vector<Fault> out;
+    if (!settings_.play.empty()) {
+      std::ifstream file(settings_.play);
+      for (Fault f; file >> f.kind >> f.pick >> f.ms;) out.push_back(f);
+      if (out.empty()) throw std::runtime_error(settings_.play + ": no faults in it");
+      return out;
+    }
+    std::mt19937_64 random(settings_.seed * 2 + static_cast<std::uint64_t>(part));
+    for (int i = 0; i < 400; ++i) {
+      out.push_back({static_cast<int>(random() % 6), random(), static_cast<int>(random() % 6'000)});
+    }
+    if (!settings_.write.empty()) {
+      std::ofstream file(settings_.write, part == 0 ? std::ios::trunc : std::ios::app);
+      for (const Fault& f : out) file << f.kind << ' ' << f.pick << ' ' << f.ms << '\n';
+    }
+    return out;
+  }
+
   // Half of the time without loss, where detection is promised, half with one datagram in ten lost.
   void Processes(double loss) {
     Rig rig({.gatekeepers = settings_.processes,
@@ -67,66 +96,69 @@
              .loss = loss,
              .seed = settings_.seed + (loss > 0 ? 1 : 0)});
     rig.StartAll();
-    const auto settle = [&](const char* what) {
-      const double took = rig.Until([&] { return rig.AllAgree(); }, kGiveUp);
+    // From the last fault on: `before` periods of it have gone by already.
+    const auto settle = [&](const char* what, double before = 0) {
+      const double rest = rig.Until([&] { return rig.AllAgree(); }, kGiveUp);
+      const double took = before + rest;
       std::cout << "loss " << loss << ", " << what << ": settled after " << took << " periods" << std::endl;
-      if (took < 0) {
+      if (rest < 0) {
         ++lost_for_ever_;
         Broken(std::string("no common view after: ") + what);
       }
-      settle_.push_back(took < 0 ? kGiveUp : took);
+      settle_.push_back(rest < 0 ? kGiveUp : took);
       ++faults_;
       rig.Run(milliseconds(400 + rig.random()() % 800));
     };
-    const auto any = [&] {
-      const std::vector<int> living = rig.Living();
-      return living[rig.random()() % living.size()];
-    };
     settle("start of all");
     const auto until = partners::Clock::now() + seconds(settings_.faults_s / 2);
-    while (partners::Clock::now() < until) {
-      const int i = any();
-      switch (rig.random()() % 6) {
-        case 0: {
+    for (const Fault& fault : Timetable(loss > 0 ? 1 : 0)) {
+      if (settings_.play.empty() && partners::Clock::now() >= until) break;
+      const std::vector<int> living = rig.Living();
+      const int i = living[fault.pick % living.size()];
+      const milliseconds span(fault.ms);
+      switch (fault.kind) {
+        case Fault::kKill: {
           rig.Kill(i);
           const double took = rig.Until([&] { return !rig.SeenByAny(i); }, kGiveUp);
           if (loss == 0) detect_.push_back(took < 0 ? kGiveUp : took);
-          settle("a kill");
+          settle("a kill", took < 0 ? kGiveUp : took);
           rig.Start(i);
           settle("its start");
           break;
         }
-        case 1:
+        case Fault::kShortStop:
           rig.Stop(i);
           rig.Run(milliseconds(1'000));  // less than the suspicion
           rig.Continue(i);
           settle("a short stop");
           break;
-        case 2:
+        case Fault::kLongStop:
           rig.Stop(i);
-          rig.Run(milliseconds(4'000));
+          rig.Run(milliseconds(3'000) + span / 2);
           rig.Continue(i);
           settle("a long stop");
           break;
-        case 3: {
+        case Fault::kSplit: {
           std::vector<int> sides;
-          for (int m = 0; m < rig.size(); ++m) sides.push_back(static_cast<int>(rig.random()() % 2));
+          for (int m = 0; m < rig.size(); ++m) sides.push_back(static_cast<int>(fault.pick >> (m + 8) & 1));
           rig.Split(sides);
-          rig.Run(milliseconds(1'000 + rig.random()() % 6'000));
+          rig.Run(milliseconds(1'000) + span);
           rig.HealAll();
           settle("a split that healed");
           break;
         }
-        case 4:
+        case Fault::kLeave: {
           rig.Terminate(i);
+          const double took = rig.Until([&] { return rig.AllAgree(); }, kGiveUp);
           if (rig.Until([&] { return !rig.alive(i); }, kGiveUp) < 0) Broken("a told process did not end");
-          settle("a leave");
+          settle("a leave", took < 0 ? kGiveUp : took);
           rig.Start(i);
           settle("its start");
           break;
-        case 5:
+        }
+        case Fault::kCutOff:
           rig.CutOff(i);
-          rig.Run(milliseconds(1'000 + rig.random()() % 5'000));
+          rig.Run(milliseconds(1'000) + span);
           rig.Rejoin(i);
           settle("one cut off for a while");
           break;
@@ -300,6 +332,10 @@
   app.add_option("--processes", settings.processes, "Gatekeepers that are started")->check(CLI::Range(3, 16));
   app.add_option("--faults-s", settings.faults_s, "Seconds of faults among them");
   app.add_option("--rate", settings.rate, "Requests a second to each gatekeeper where CPU is measured");
+  app.add_option("--write", settings.write, "Writes the timetable of faults down")->type_name("FILE");
+  app.add_option("--play", settings.play, "Plays the faults of such a file, all of them")
+      ->type_name("FILE")
+      ->check(CLI::ExistingFile);
   CLI11_PARSE(app, argc, argv);
   if (settings.is_short) {
     settings.processes = std::min(settings.processes, 8);
