What waits for a dial is looked at again before its first byte leaves

Cause: Servers::InScope tests the key's life when it chooses, and the message lay in the bufferevent's output while the dial was under way (NextHopPool::Connection::Send), so it left up to a dial time-out later. Ruled out: the group (the scope is tested at the choice and can't change), a second copy (the first attempt was reset).

Send and Deliver now say within what time the first byte may leave (Servers::RepeatUntil); the pool keeps the message until the connection is up, and then looks again: envelope still waited for, next hop Ready, deadline, and the window less the way there, taken as the time the dial took. The same ends what was sent for a client that had gone where attempts may not be cancelled.

--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -229,6 +229,7 @@
   RequestId id = 0;
   std::string server;
   Duration timeout{0};
+  Duration begin_within{0};  // past it nothing may be sent: a repeat of what may have run would run again
 };
 
 struct Refuse {  // final: not done, and trying again is harmless
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -322,6 +322,11 @@
   Report(report);
 }
 
+bool Gatekeeper::Wanted(planner::EnvelopeNumber envelope) {
+  const auto found = held_.find(envelope);
+  return found != held_.end() && (found->second.recipient != nullptr || planner_.Holds(envelope));
+}
+
 void Gatekeeper::ProbeEnded(const planner::ProbeReport& report) { Report(report); }
 
 void Gatekeeper::CounterAnswered(planner::CounterReport report) { Report(std::move(report)); }
@@ -402,7 +407,8 @@
   const resp::Letter& letter = found->second.letter;
   letter.RenderHead(std::max(milliseconds(1), std::chrono::floor<milliseconds>(step.timeout)), message_);
   pool_.Deliver({step.envelope, step.attempt}, step.next_hop,
-                {.head = message_, .tail = letter.tail(), .text = letter.text()}, step.timeout);
+                {.head = message_, .tail = letter.tail(), .text = letter.text()}, step.timeout,
+                step.begin_within);
 }
 
 void Gatekeeper::Do(planner::Defer& step) {
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -74,6 +74,7 @@
   // AttemptListener
   void AttemptEnded(const planner::AttemptReport& report, std::string_view value) override;
   void ProbeEnded(const planner::ProbeReport& report) override;
+  bool Wanted(planner::EnvelopeNumber envelope) override;
   Value ValueBegins(const planner::AttemptReport& report) override;
   std::size_t ValueRoom(planner::EnvelopeNumber envelope) override;
   void PassValue(planner::EnvelopeNumber envelope, evbuffer* from, std::size_t size) override;
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -41,6 +41,7 @@
       : pool_(pool), hop_(hop), timer_(pool.base_, [this] { TimedOut(); }) {}
 
   bool Dial() {
+    dialled_ = Clock::now();
     connection_ = net::Dial(
         pool_.base_, hop_.address, [](bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); },
         [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
@@ -52,7 +53,8 @@
   }
 
   // Without a key it is a probe.
-  void Begin(const AttemptKey* key, const Message& message, microseconds timeout, Clock::time_point begun) {
+  void Begin(const AttemptKey* key, const Message& message, microseconds timeout, microseconds begin_within,
+             Clock::time_point begun) {
     is_probe_ = key == nullptr;
     key_ = key == nullptr ? AttemptKey{} : *key;
     busy_ = true;
@@ -60,10 +62,17 @@
     need_ = 0;
     begun_ = begun;
     ends_ = begun + timeout;
+    begin_by_ = begun + begin_within;
     written_ = is_probe_;
+    if (!up_) {
+      // Kept here, not in the connection's buffer: from there it would leave whatever has become of it.
+      waiting_ = Waiting{std::string(message.head), message.tail, message.text};
+      return timer_.Arm(std::min(timeout, pool_.limits_.dial_timeout));
+    }
+    if (!MayBegin()) return Close(AttemptResult::kCouldNotConnect);
     Send(message);
     Written();
-    timer_.Arm(up_ ? timeout : std::min(timeout, pool_.limits_.dial_timeout));
+    timer_.Arm(timeout);
   }
 
   // Ends what is under way by closing the connection. Nothing of it may be touched afterwards.
@@ -95,17 +104,21 @@
   Clock::time_point idle_since() const { return idle_since_; }
 
  private:
-  // Leaves once it is up. A long tail is not copied: it is held until it has left.
+  // What was so when the attempt was decided, for the moment in which its first byte leaves. A probe has no
+  // more to keep than the list.
+  bool MayBegin() const {
+    if (hop_.state != planner::HopState::kReady) return false;
+    if (is_probe_) return true;
+    return Clock::now() + way_there_ < begin_by_ && pool_.listener_.Wanted(key_.envelope);
+  }
+
+  // Only over a connection that is up. A long tail is not copied: it is held until it has left.
   void Send(const Message& message) {
     const bool copied = message.tail.size() <= kCopied;
     std::string& whole = pool_.message_;
     whole.assign(message.head);
     if (copied) whole += message.tail;
-    if (up_) {
-      Write(connection_.get(), whole);
-    } else {
-      bufferevent_write(connection_.get(), whole.data(), whole.size());
-    }
+    Write(connection_.get(), whole);
     if (copied) return;
     using Text = std::shared_ptr<const std::string>;
     evbuffer_add_reference(
@@ -117,8 +130,15 @@
   void Event(short what) {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
       up_ = true;
-      if (busy_) timer_.Arm(std::chrono::duration_cast<microseconds>(ends_ - Clock::now()));
-      return;
+      const auto now = Clock::now();
+      way_there_ =
+          std::min(std::chrono::duration_cast<microseconds>(now - dialled_), pool_.limits_.dial_timeout);
+      if (!busy_) return;
+      if (now >= ends_ || !MayBegin()) return Close(AttemptResult::kCouldNotConnect);
+      const Waiting waiting = std::move(waiting_);
+      Send({.head = waiting.head, .tail = waiting.tail, .text = waiting.text});
+      Written();
+      return timer_.Arm(std::chrono::duration_cast<microseconds>(ends_ - now));
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
     if (told_) {
@@ -346,10 +366,19 @@
   bool told_ = false;     // how the attempt ended; what is still under way is its value or what follows that
   bool paused_ = false;   // the client has no room for the value
   bool ended_ = false;    // the next hop has closed; all of the value has come
+  struct Waiting {        // a message, while the connection is still to come up
+    std::string head;
+    std::string_view tail;
+    std::shared_ptr<const std::string> text;
+  };
+  Waiting waiting_;
   AttemptKey key_;
   std::size_t need_ = 0;
   std::size_t value_left_ = 0;  // bytes of a large value that are still to be passed on
   std::size_t rest_ = 0;        // parts of the answer behind it
+  Clock::time_point dialled_;
+  microseconds way_there_{0};  // no longer than this; once it is up
+  Clock::time_point begin_by_;
   Clock::time_point begun_;
   Clock::time_point heard_;
   Clock::time_point ends_;
@@ -397,9 +426,9 @@
 }
 
 void NextHopPool::Deliver(const AttemptKey& key, const std::string& next_hop, const Message& message,
-                          microseconds timeout) {
+                          microseconds timeout, microseconds begin_within) {
   const auto found = hops_.find(next_hop);
-  if (found != hops_.end()) return Start(*found->second, &key, message, timeout);
+  if (found != hops_.end()) return Start(*found->second, &key, message, timeout, begin_within);
   listener_.AttemptEnded({.envelope = key.envelope,
                           .attempt = key.attempt,
                           .next_hop = next_hop,
@@ -411,17 +440,20 @@
   std::string message;
   resp::AppendCommand({"INFO", "load"}, message);
   const auto found = hops_.find(next_hop);
-  if (found != hops_.end()) return Start(*found->second, nullptr, {.head = message}, limits_.dial_timeout);
+  if (found != hops_.end()) {
+    return Start(*found->second, nullptr, {.head = message}, limits_.dial_timeout, limits_.dial_timeout);
+  }
   listener_.ProbeEnded({.next_hop = next_hop, .result = AttemptResult::kCouldNotConnect});
 }
 
-void NextHopPool::Start(Hop& hop, const AttemptKey* key, const Message& message, microseconds timeout) {
+void NextHopPool::Start(Hop& hop, const AttemptKey* key, const Message& message, microseconds timeout,
+                        microseconds begin_within) {
   const auto begun = Clock::now();
   Connection* connection = hop.state == planner::HopState::kReady ? FindIdle(hop) : nullptr;
   if (connection == nullptr && hop.state == planner::HopState::kReady) connection = Open(hop);
   if (connection != nullptr) {
     if (key != nullptr) attempts_[*key] = connection;
-    return connection->Begin(key, message, timeout, begun);
+    return connection->Begin(key, message, timeout, begin_within, begun);
   }
   if (key == nullptr) {
     return listener_.ProbeEnded({.next_hop = hop.name, .result = AttemptResult::kCouldNotConnect});
--- a/src/net/next_hop_pool.h
+++ b/src/net/next_hop_pool.h
@@ -31,6 +31,8 @@
   // `value` is the whole bulk string of a served attempt; it holds during the call.
   virtual void AttemptEnded(const planner::AttemptReport& report, std::string_view value) = 0;
   virtual void ProbeEnded(const planner::ProbeReport& report) = 0;
+  // Whether anyone still waits for the envelope: asked when its message is about to leave a dial later.
+  virtual bool Wanted(planner::EnvelopeNumber envelope) = 0;
   // A served attempt's value is large and has begun to come. What is wanted with it?
   enum class Value { kWhole, kPass, kNone };
   // kPass: the attempt has ended with this, and its value is handed on in pieces until ValueEnded.
@@ -70,9 +72,13 @@
     std::shared_ptr<const std::string> text{};
   };
   // Writes `message` to a connection to the next hop; the attempt ends within `timeout`, or with the last
-  // byte of a large value that has begun by then.
+  // byte of a large value that has begun by then. Where the connection is still to come up, nothing of it is
+  // written before it is, and what allowed the attempt is looked at once more: an envelope nobody waits for,
+  // a next hop that is not Ready any more, or a first byte that would arrive later than `begin_within` from
+  // now ends it as one that could not connect. The way there is taken to be as long as the connection took to
+  // come up, which is at least there and back, and at most the dial time-out.
   void Deliver(const AttemptKey& key, const std::string& next_hop, const Message& message,
-               std::chrono::microseconds timeout);
+               std::chrono::microseconds timeout, std::chrono::microseconds begin_within);
   // There is room again for the attempt's value.
   void Resume(const AttemptKey& key);
   // Gives up an attempt by closing its connection.
@@ -91,7 +97,8 @@
 
   Connection* Open(Hop& hop);
   Connection* FindIdle(Hop& hop);
-  void Start(Hop& hop, const AttemptKey* key, const Message& message, std::chrono::microseconds timeout);
+  void Start(Hop& hop, const AttemptKey* key, const Message& message, std::chrono::microseconds timeout,
+             std::chrono::microseconds begin_within);
   void CloseIdle(Hop& hop, Clock::time_point unused_since);
   void NoteGap(std::chrono::microseconds gap);
   std::chrono::microseconds Stall() const;
--- a/src/planner/types.h
+++ b/src/planner/types.h
@@ -54,6 +54,7 @@
   int attempt = 0;
   std::string next_hop;
   std::chrono::microseconds timeout{0};
+  std::chrono::microseconds begin_within{0};  // its first byte may not arrive later
 };
 
 // Final answer: not done, and asking again is harmless.
--- a/src/policy/control.cpp
+++ b/src/policy/control.cpp
@@ -116,7 +116,7 @@
     quota_.Sent(r);
     r.stage = Stage::kOut;
     r.attempts.push_back(Attempt{s->info.id, now_});
-    Do(Send{r.id, s->info.id, r.deadline - now_});
+    Do(Send{r.id, s->info.id, r.deadline - now_, servers_.RepeatUntil(r) - now_});
     const double silent = kSilentFactor * load_.Usual(r);
     Do(SetTimer{FromSeconds(std::max(silent, Seconds(Cls(r).aim) / 4)), Token(kCheckDue, r.id)});
     Do(SetTimer{Cls(r).aim, Token(kLateDue, r.id)});
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -103,6 +103,15 @@
     return best;
   }
 
+  // Until when what may have run before is still known as the same; the deadline where nothing may have.
+  TimePoint RepeatUntil(const Request& r) const {
+    TimePoint out = r.pin && r.pin->may_have_run ? std::min(r.deadline, r.key_until) : r.deadline;
+    for (const Attempt& a : r.attempts) {
+      if (a.may_have_run && Cls(r).repeat == Repeat::kKeyed) out = std::min(out, a.sent + Cls(r).key_ttl);
+    }
+    return out;
+  }
+
   void Note(const OutcomeEvent& e) {
     const auto it = servers_.find(e.server);
     if (it == servers_.end()) return;
@@ -211,7 +220,7 @@
 
   bool InScope(const Request& r, const Server& s) const {
     const ClassSettings& cls = Cls(r);
-    if (r.pin && r.pin->may_have_run && now_ >= r.key_until) return false;
+    if (now_ >= RepeatUntil(r)) return false;
     if (r.pin && r.pin->bound && cls.scope == Scope::kZone && s.info.zone != r.pin->zone) return false;
     if (r.pin && r.pin->bound && cls.scope == Scope::kCell && s.info.cell != r.pin->cell) return false;
     for (const Attempt& a : r.attempts) {
@@ -219,7 +228,7 @@
       if (cls.repeat == Repeat::kUnsafe) return false;
       if (cls.repeat == Repeat::kSafe) continue;
       const auto it = servers_.find(a.server);
-      if (now_ - a.sent >= cls.key_ttl || it == servers_.end()) return false;
+      if (it == servers_.end()) return false;
       if (cls.scope == Scope::kZone && it->second.info.zone != s.info.zone) return false;
       if (cls.scope == Scope::kCell && it->second.info.cell != s.info.cell) return false;
     }
--- /dev/null
+++ b/tests/net/attempt_test.cpp
@@ -0,0 +1,107 @@
+// What was allowed when an attempt was decided and no longer is when its first byte would leave: the dial
+// takes a second, and something happens meanwhile.
+#include "partners/slow_port.h"
+
+namespace postspread {
+namespace {
+
+using namespace site;
+
+std::string Write(std::string_view id) {
+  return Command({"API.WRITE", "0000000000000001", id,
+                  "c=change,t=team,d=60000,k=00000000000000aa,units=1,spread=2,first=0", "x"});
+}
+
+// A site whose one class is keyed over all next hops, for so many microseconds, beside a second, slow next
+// hop.
+struct Late {
+  explicit Late(std::int64_t window)
+      : site(1, {{"settings",
+                  {{"Classes",
+                    {{{"Name", "lookup"}, {"Aim", 60'000'000}, {"HardLimit", 60'000'000}, {"Effect", "safe"}},
+                     {{"Name", "change"},
+                      {"Aim", 60'000'000},
+                      {"HardLimit", 60'000'000},
+                      {"Effect", "keyed"},
+                      {"DedupScope", "all"},
+                      {"KeyTtl", window}}}}}}}) {
+    site.Start(1);
+  }
+  // The list gets the slow next hop in the place of the first, which ends nothing that is under way there.
+  void TurnToSlow() {
+    json entries = site.Entries(0, 1, "Terminating");
+    entries.push_back({{"name", "s-slow"}, {"address", slow.address()}, {"status", "Ready"}});
+    site.Tell(Site::List(false, entries));
+    site.watch().Until("\r\n\r\n");  // the next call: the list is in force
+  }
+  Site site;
+  SlowPort slow;
+};
+
+TEST_CASE("a repeat whose dial outlasts the window of its key is not sent") {
+  const bool lasts = GENERATE(false, true);  // the other way round it is sent: the look can tell
+  Late late(lasts ? 30'000'000 : 700'000);
+  Peer client = late.site.Client();
+  client.Send(Write("one"));
+  late.site.Grant();
+  Peer hop = late.site.hop(0).Accept();
+  CHECK(hop.Command().at(0) == "API.WRITE");  // has come whole: it may have run
+  late.TurnToSlow();
+  hop.Reset();
+  late.slow.Dialled();
+  late.slow.Open();
+  Peer second = late.slow.port().Accept();
+  if (lasts) {
+    CHECK(second.Command().at(2) == "one");
+    second.Send(kValue);
+    CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  } else {
+    CHECK(second.Ended());
+    // Within its window it might have been repeated anywhere: refused, not failed.
+    CHECK(client.Line().substr(0, 5) == "-BUSY");
+  }
+}
+
+TEST_CASE(
+    "what waits for a dial is not sent once its client has gone, whether or not attempts may be cancelled") {
+  const bool cancels = GENERATE(true, false);
+  Site site(0, {{"settings", {{"Limits", {{"Cancelling", cancels}}}}}});
+  SlowPort slow;
+  site.Start(0, {{{"name", "s-slow"}, {"address", slow.address()}, {"status", "Ready"}}});
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  site.Grant();
+  slow.Dialled();
+  client.Close();
+  Peer other = site.Client();  // answered behind the close
+  CHECK(Site::Ping(other) == "+PONG\r\n");
+  slow.Open();
+  other.Send(Read("two"));
+  site.Grant();
+  // The first request's dial, where it goes on, comes up as well, and ends with nothing sent.
+  std::string sent;
+  std::vector<Peer> hops;  // kept: a request on one that closed would be sent again
+  while (hops.size() < (cancels ? 1 : 2)) {
+    hops.push_back(slow.port().Accept());
+    sent += hops.back().Some(4096);
+  }
+  CHECK(sent.find("one") == std::string::npos);
+  CHECK(sent.find("two") != std::string::npos);
+}
+
+TEST_CASE("what waits for a dial is not sent to a next hop that has been said to drain") {
+  Site site(0);
+  SlowPort slow;
+  site.Start(0, {{{"name", "s-slow"}, {"address", slow.address()}, {"status", "Ready"}}});
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  site.Grant();
+  slow.Dialled();
+  Port other;
+  site.Tell(Site::List(false, {{{"name", "s-slow"}, {"address", slow.address()}, {"status", "Terminating"}},
+                               {{"name", "s-1"}, {"address", other.address()}, {"status", "Ready"}}}));
+  CHECK(other.Accept().Command().at(2) == "one");
+}
+
+}  // namespace
+}  // namespace postspread
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -255,11 +255,13 @@
   }
   Site(const Site&) = delete;
 
-  // Plays the start up to the point where it serves; the first `count` next hops are listed.
-  void Start(int count) {
+  // Plays the start up to the point where it serves; the first `count` next hops are listed, and `others`.
+  void Start(int count, const json& others = json::array()) {
     watch_.emplace_back(discovery_.Accept());
     CHECK(watch().Until("\r\n\r\n").find("GET /api/targets HTTP/1.1\r\n") == 0);
-    Tell(List(true, Entries(0, count, "Ready")));
+    json listed = Entries(0, count, "Ready");
+    listed.insert(listed.end(), others.begin(), others.end());
+    Tell(List(true, std::move(listed)));
     CHECK(watch().Until("\r\n\r\n").find("GET /api/targets?since=41&timeout_ms=") == 0);
     calls_.emplace_back(counter_.Accept());
     WaitUntilReady();
