Discovery is asked again within the bound of what counts as told, in any group

A watch that fell silent and whose successor did too took 5.5 s and more.

roster::CallTimes holds all times of a call; its header names the longest ways and the pauses are what these leave of 6 s less half a second. Small groups pause as before. After a fault the first call waits 0.5 s in place of 2. A list whose number goes back is asked for whole (its changes were taken as changes of the old one, and the next call waited for a number that may be far off); what stands behind an answer is not read as the next one.

Over sockets, red on the program before: pauses in groups of 20 and 300, silence followed by a stall and a refusal, a number that goes back, bytes behind an answer. Ruled out, with tests that were green before: an answer without a length that is reset, a reset in mid-body, SIGHUP in mid-answer, an empty change, an indented list.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -1,6 +1,5 @@
 #include "net/discovery_watch.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -9,31 +8,13 @@
 #include "net/log.h"
 
 namespace postspread::net {
-namespace {
-
-using std::chrono::milliseconds;
-
-// What a call that may wait has to tell counts as told 2 s after its wait: a short wait finds out soon that
-// an agent has gone silent.
-constexpr milliseconds kWait{2'000};
-constexpr milliseconds kOverdue{500};  // beyond the wait: the agent is silent
-constexpr milliseconds kRedial{100};   // a watch goes on only within 200 ms
-
-// An overbooked discovery refuses, and every call that it refuses keeps it overbooked. Who was refused asks
-// again so seldom, and by chance, that a whole group that was refused makes some five calls a second.
-constexpr milliseconds kRefusedShare{200};
-
-}  // namespace
-
 DiscoveryWatch::DiscoveryWatch(event_base* base, config::Address address,
                                std::chrono::microseconds dial_timeout, int group_size, std::uint64_t seed,
                                OnRoster on_roster)
     : base_(base),
       address_(std::move(address)),
-      dial_timeout_(dial_timeout),
       on_roster_(std::move(on_roster)),
-      refused_pause_(kRefusedShare * std::max(1, group_size)),
-      random_(seed),
+      times_(dial_timeout, group_size, seed),
       timer_(base, [this] { connection_ ? Lost("no answer in time") : Dial(); }) {
   Dial();
 }
@@ -45,7 +26,7 @@
       [](bufferevent*, short what, void* self) { static_cast<DiscoveryWatch*>(self)->Event(what); }, this);
   if (!connection_) return Lost("no connection");
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
-  timer_.Arm(dial_timeout_);
+  timer_.Arm(times_.Dial());
 }
 
 void DiscoveryWatch::MoveTo(config::Address address) {
@@ -58,10 +39,10 @@
 void DiscoveryWatch::Ask() {
   std::string target = "/api/targets";
   if (has_index_) {
-    target += "?since=" + std::to_string(index_) + "&timeout_ms=" + std::to_string(kWait.count());
+    target += "?since=" + std::to_string(index_) + "&timeout_ms=" + std::to_string(times_.Wait().count());
   }
   Write(connection_.get(), http::GetRequest(address_.text(), target));
-  timer_.Arm(has_index_ ? kWait + kOverdue : kOverdue);
+  timer_.Arm((has_index_ ? times_.Wait() : std::chrono::milliseconds(0)) + times_.kOverdue);
 }
 
 void DiscoveryWatch::Event(short what) {
@@ -84,7 +65,7 @@
 void DiscoveryWatch::Answered() {
   if (parser_.status() != 200) {
     Lost("status " + std::to_string(parser_.status()));
-    return timer_.Arm(Pause());
+    return timer_.Arm(times_.Refused());
   }
   config::Roster roster;
   try {
@@ -95,10 +76,14 @@
     return Lost(error.what());
   }
   if (std::exchange(failing_, false)) Log("discovery answers again");
-  heard_ = has_index_ = true;
+  times_.Answered();
+  // A list whose number goes back is another's: what it says has changed says nothing of what was held.
+  const bool anew = has_index_ && !roster.full && roster.index < index_;
+  heard_ = true;
+  has_index_ = !anew;
   index_ = roster.index;
   // The next call goes out first: the watch goes on only if it comes at once.
-  const bool closes = parser_.closes();
+  const bool closes = parser_.closes() || ReadSize(connection_.get()) > 0;
   parser_.Reset();
   if (closes) {
     connection_.reset();
@@ -106,18 +91,13 @@
   } else {
     Ask();
   }
-  if (roster.full || !roster.entries.empty()) on_roster_(std::move(roster));
+  if (!anew && (roster.full || !roster.entries.empty())) on_roster_(std::move(roster));
 }
 
 void DiscoveryWatch::Lost(std::string_view why) {
   connection_.reset();
   if (!std::exchange(failing_, true)) Log("discovery does not answer", why);
-  timer_.Arm(kRedial);
-}
-
-milliseconds DiscoveryWatch::Pause() {
-  const double share = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
-  return std::chrono::duration_cast<milliseconds>(refused_pause_ * share);
+  timer_.Arm(times_.Lost());
 }
 
 }  // namespace postspread::net
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -1,16 +1,20 @@
-// Keeps up with discovery's list: asks for the whole once, then watches for changes.
+// Keeps up with discovery's list: asks for the whole once, then watches for changes. What becomes of a call
+// is told by its answer, or its time; from a failed, refused or given-up one to the next that is answered it
+// is never longer than roster::CallTimes says, and so a change is in force within its bound. The half of an
+// answer that was reset is no list; neither is what comes behind one. Where the list's number goes back,
+// discovery began anew: the whole is asked for.
 #ifndef POSTSPREAD_NET_DISCOVERY_WATCH_H_
 #define POSTSPREAD_NET_DISCOVERY_WATCH_H_
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <random>
 #include <string_view>
 
 #include "config/roster.h"
 #include "http/response.h"
 #include "net/loop.h"
+#include "roster/call_times.h"
 
 namespace postspread::net {
 
@@ -36,14 +40,11 @@
   void Read();
   void Answered();
   void Lost(std::string_view why);
-  std::chrono::milliseconds Pause();
 
   event_base* base_;
   config::Address address_;
-  std::chrono::microseconds dial_timeout_;
   OnRoster on_roster_;
-  std::chrono::milliseconds refused_pause_;  // mean time until what was refused is asked again
-  std::minstd_rand random_;                  // spreads the calls
+  roster::CallTimes times_;
   BufferEvent connection_;
   http::ResponseParser parser_;
   bool heard_ = false;
