Clients that have gone, stops, and connections to former places: five crossings closed

Reading now goes on up to what is read ahead anyway (80 KB, the old bound); behind more a look (poll, POLLRDHUP) each 40 ms, only while such a connection is there. - SenderSide::Drain closed over requests that lay at a socket, new or kept, unread: what is there is read first, then shut. Connections that end make room before the machine's accepted ones are taken. - A request held by a hanging next hop, or waiting for a dial, was open past the time of SIGKILL (deadline of 8 s, SIGKILL from 3.7 s on): what comes in a stop has no more time than the platform leaves, and what is owed 0.1 s before that is answered as failed (Lifecycle::AnswerBy, from the longest deadline). - A name that came back with another start or address kept its busy connections: the next request went over one to the former place. A hop has an incarnation now. - A second answer after reuse: where next hops were seen to send what nobody asked for, a connection rests 20 ms between two uses, for a minute.

--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -240,7 +240,13 @@
                                                  : milliseconds(0));
     return 0;
   }
-  const planner::Planner::Picked picked = planner_.Pick(envelope, Clock::now());
+  // What comes in a stop has no more time than the platform leaves it.
+  Envelope timely = envelope;
+  if (lifecycle_.stopping()) {
+    const auto left = lifecycle_.AnswerBy(LongestDeadline()) - Clock::now();
+    timely.patience = std::clamp(std::chrono::floor<milliseconds>(left), milliseconds(1), envelope.patience);
+  }
+  const planner::Planner::Picked picked = planner_.Pick(timely, Clock::now());
   held_.emplace(picked.number,
                 Held{std::move(letter), &recipient, ticket, &figures_.Of(envelope.class_name)});
   Run(picked.steps);
@@ -548,10 +554,34 @@
   sender_side_.StartAccepting();
 }
 
-void Gatekeeper::StopStage() {
+microseconds Gatekeeper::LongestDeadline() const {
   microseconds longest{0};
   for (const ClassSettings& cls : config_.settings.classes) longest = std::max(longest, cls.deadline);
+  return longest;
+}
+
+// What is still owed when the platform may kill is answered before: a failure promises nothing, and it is an
+// answer.
+void Gatekeeper::AnswerAll() {
+  std::vector<planner::EnvelopeNumber> owed;
+  for (const auto& [number, held] : held_) {
+    if (held.recipient != nullptr) owed.push_back(number);
+  }
+  for (const planner::EnvelopeNumber number : owed) {
+    const auto found = held_.find(number);
+    if (found == held_.end() || found->second.recipient == nullptr) continue;
+    Recipient& recipient = *found->second.recipient;
+    const Recipient::Ticket ticket = found->second.ticket;
+    ++found->second.figures->failed;
+    SenderGone(number);
+    recipient.Fail(ticket, planner::FailReason::kFailed);
+  }
+}
+
+void Gatekeeper::StopStage() {
+  const microseconds longest = LongestDeadline();
   sender_side_.Drain(lifecycle_.CommandsUntil(longest));
+  if (Clock::now() >= lifecycle_.AnswerBy(longest)) AnswerAll();
   if (sender_side_.empty()) {
     if (planner_.keeper() != nullptr) LogKeys();
     event_base_loopbreak(base_);
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -112,6 +112,8 @@
   bool Able() const;
   void NameClasses();
   void StopStage();
+  void AnswerAll();
+  std::chrono::microseconds LongestDeadline() const;
   void StartAccepting();
   void DialCounter(const config::Address& address);
   void CloseRetired();
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -95,12 +96,30 @@
   setsockopt(bufferevent_getfd(connection), SOL_SOCKET, which, &size, sizeof size);
 }
 
+void ReadNow(bufferevent* connection, std::size_t most) {
+  evbuffer* input = bufferevent_get_input(connection);
+  // A bufferevent keeps the end of its input closed but for its own reads. An end or an error is left to it.
+  evbuffer_unfreeze(input, /*at_front=*/0);
+  evbuffer_read(input, bufferevent_getfd(connection), static_cast<int>(most));
+  evbuffer_freeze(input, /*at_front=*/0);
+}
+
+bool HungUp(bufferevent* connection) {
+  pollfd look{bufferevent_getfd(connection), POLLRDHUP, 0};
+  return poll(&look, 1, 0) == 1 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool HasNews(bufferevent* connection) {
   char byte = 0;
   const ssize_t size = recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool HasBytes(bufferevent* connection) {
+  char byte = 0;
+  return recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void Consume(bufferevent* connection, std::size_t size) {
   evbuffer_drain(bufferevent_get_input(connection), size);
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -69,8 +69,15 @@
 void Consume(bufferevent* connection, std::size_t size);
 // Bounds what the kernel holds of this connection's bytes: `which` is SO_SNDBUF or SO_RCVBUF.
 void SetKernelBytes(bufferevent* connection, int which, int size);
+// Reads now what waits at the socket, `most` bytes at the most, as the loop would do in its turn.
+void ReadNow(bufferevent* connection, std::size_t most);
+// Whether the other end has closed its side, or the connection is broken, also where that stands behind bytes
+// that nobody reads.
+bool HungUp(bufferevent* connection);
 // Whether bytes, an end or an error wait at the socket that the loop has not seen yet.
 bool HasNews(bufferevent* connection);
+// Whether bytes do.
+bool HasBytes(bufferevent* connection);
 
 }  // namespace postspread::net
 
--- a/src/net/next_hop_pool.cpp
+++ b/src/net/next_hop_pool.cpp
@@ -23,6 +23,11 @@
 constexpr std::size_t kReadHigh = 72 * 1024;  // bytes read ahead of what is parsed or passed on
 constexpr int kKernelBytes = 64 * 1024;       // of the kernel's, for a connection that carries a large value
 constexpr std::size_t kCopied = 16 * 1024;    // a longer tail of a message is written by reference
+// A second copy of an answer that comes some milliseconds behind it, after the next request has left, can't
+// be told from that one's answer. So where next hops are seen to send what nobody asked for, a connection
+// rests before it is used again, for as long as that was seen of late.
+constexpr std::chrono::milliseconds kRest{20};
+constexpr std::chrono::seconds kRestsFor{60};
 constexpr double kIdleShare = 0.7;  // of the idle limit: a write at the limit itself would be a reset
 
 }  // namespace
@@ -32,13 +37,14 @@
   config::Address address;
   planner::HopState state = planner::HopState::kReady;
   std::chrono::milliseconds started{0};
+  int incarnation = 0;  // changes with its start and its place: connections to a former one lead nowhere
   std::vector<std::unique_ptr<Connection>> connections;
 };
 
 class NextHopPool::Connection {
  public:
   Connection(NextHopPool& pool, Hop& hop)
-      : pool_(pool), hop_(hop), timer_(pool.base_, [this] { TimedOut(); }) {}
+      : pool_(pool), hop_(hop), incarnation_(hop.incarnation), timer_(pool.base_, [this] { TimedOut(); }) {}
 
   bool Dial() {
     dialled_ = Clock::now();
@@ -94,6 +100,7 @@
   void LeaveIfUnsent() {
     if (busy_ && !up_) Close(AttemptResult::kCouldNotConnect);
   }
+  bool current() const { return incarnation_ == hop_.incarnation; }
 
   Hop& hop() { return hop_; }
   bool idle() const { return !busy_ && up_; }
@@ -101,13 +108,14 @@
   // answer, since the loop last looked. The one would be a reset that may have run, the other the wrong
   // value.
   bool spoilt() const { return HasNews(connection_.get()); }
+  bool has_bytes() const { return HasBytes(connection_.get()); }
   Clock::time_point idle_since() const { return idle_since_; }
 
  private:
   // What was so when the attempt was decided, for the moment in which its first byte leaves. A probe has no
   // more to keep than the list.
   bool MayBegin() const {
-    if (hop_.state != planner::HopState::kReady) return false;
+    if (hop_.state != planner::HopState::kReady || !current()) return false;
     if (is_probe_) return true;
     return Clock::now() + way_there_ < begin_by_ && pool_.listener_.Wanted(key_.envelope);
   }
@@ -169,7 +177,10 @@
   }
 
   void Read() {
-    if (!busy_) return Close(AttemptResult::kReset);  // nobody asked
+    if (!busy_) {  // nobody asked
+      pool_.NoteUnasked();
+      return Close(AttemptResult::kReset);
+    }
     if (value_left_ > 0) return Pump();
     if (told_) return ReadRest();
     const auto now = Clock::now();
@@ -292,7 +303,8 @@
     if (need_ > kReadHigh) bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadHigh);
     busy_ = false;
     idle_since_ = Clock::now();
-    if (ReadSize(connection_.get()) > 0 || hop_.state != planner::HopState::kReady) {
+    if (ReadSize(connection_.get()) > 0) pool_.NoteUnasked();
+    if (ReadSize(connection_.get()) > 0 || hop_.state != planner::HopState::kReady || !current()) {
       Close(AttemptResult::kReset);
     }
   }
@@ -356,6 +368,7 @@
 
   NextHopPool& pool_;
   Hop& hop_;
+  const int incarnation_;  // of the next hop, that it leads to
   BufferEvent connection_;
   Timer timer_;
   bool up_ = false;
@@ -397,7 +410,7 @@
 NextHopPool::~NextHopPool() = default;
 
 void NextHopPool::Apply(const config::Roster& roster) {
-  std::vector<Hop*> not_ready;
+  std::vector<Hop*> renewed, not_ready;
   if (roster.full) {
     for (auto& [name, hop] : hops_) hop->state = planner::HopState::kGone;
   }
@@ -409,7 +422,11 @@
     }
     const bool moved = !(hop->address == entry.address) && entry.address.size() > 0;
     // A new process or a new place: connections to the old one lead nowhere.
-    if (moved || hop->started != entry.hop.started) CloseIdle(*hop, Clock::time_point::max());
+    if (moved || hop->started != entry.hop.started) {
+      ++hop->incarnation;
+      CloseIdle(*hop, Clock::time_point::max());
+      renewed.push_back(hop.get());
+    }
     if (moved) hop->address = entry.address;
     hop->started = entry.hop.started;
     hop->state = entry.hop.state;
@@ -417,10 +434,12 @@
   for (auto& [name, hop] : hops_) {
     if (hop->state != planner::HopState::kReady) not_ready.push_back(hop.get());
   }
-  for (Hop* hop : not_ready) {
-    CloseIdle(*hop, Clock::time_point::max());
-    for (std::size_t i = hop->connections.size(); i-- > 0;) {
-      if (i < hop->connections.size()) hop->connections[i]->LeaveIfUnsent();
+  for (Hop* hop : not_ready) CloseIdle(*hop, Clock::time_point::max());
+  for (const std::vector<Hop*>& hops : {renewed, not_ready}) {
+    for (Hop* hop : hops) {
+      for (std::size_t i = hop->connections.size(); i-- > 0;) {
+        if (i < hop->connections.size()) hop->connections[i]->LeaveIfUnsent();
+      }
     }
   }
 }
@@ -479,6 +498,8 @@
   longest_gap_ = std::max(gap, std::chrono::duration_cast<microseconds>(longest_gap_ * kGapFades));
 }
 
+void NextHopPool::NoteUnasked() { rests_until_ = Clock::now() + kRestsFor; }
+
 microseconds NextHopPool::Stall() const {
   return std::clamp<microseconds>(kGaps * longest_gap_, kAnswerStall, kStallMost);
 }
@@ -486,12 +507,15 @@
 NextHopPool::Connection* NextHopPool::FindIdle(Hop& hop) {
   for (;;) {
     Connection* best = nullptr;  // the last used: the others may reach their age
+    const auto now = Clock::now();
+    const auto rested = now < rests_until_ ? now - kRest : now;
     for (const auto& connection : hop.connections) {
-      if (!connection->idle()) continue;
+      if (!connection->idle() || connection->idle_since() > rested) continue;
       if (best == nullptr || connection->idle_since() > best->idle_since()) best = connection.get();
     }
-    if (best == nullptr || Clock::now() - best->idle_since() >= reuse_within_) return nullptr;
+    if (best == nullptr || now - best->idle_since() >= reuse_within_) return nullptr;
     if (!best->spoilt()) return best;
+    if (best->has_bytes()) NoteUnasked();
     Remove(*best);
   }
 }
--- a/src/net/next_hop_pool.h
+++ b/src/net/next_hop_pool.h
@@ -102,6 +102,7 @@
   void CloseIdle(Hop& hop, Clock::time_point unused_since);
   void NoteGap(std::chrono::microseconds gap);
   std::chrono::microseconds Stall() const;
+  void NoteUnasked();
   void Upkeep();
   bool EvictIdle();
   std::unique_ptr<Connection> Remove(Connection& connection);
@@ -114,6 +115,7 @@
   std::unordered_map<AttemptKey, Connection*, KeyHash> attempts_;
   std::size_t open_ = 0;                      // connections
   std::chrono::microseconds longest_gap_{0};  // in small answers that went on, fading
+  Clock::time_point rests_until_;             // connections rest between two uses
   std::string message_;                       // as it is written
   RareLog malformed_, not_dialled_;
   Timer upkeep_;
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kReadAhead = 80 * 1024;         // bytes read before they are handled: one command fits
 constexpr std::chrono::milliseconds kLeaveCheck{20};  // between two looks at who is to be closed now
 constexpr std::chrono::milliseconds kUpkeep{250};     // between two looks at what stands still
+constexpr std::chrono::milliseconds kGoneCheck{40};   // ... at who has gone behind bytes that nobody reads
 constexpr std::chrono::milliseconds kSilence{2'000};  // for a first command, or the next where many are open
 constexpr std::chrono::milliseconds kHead{2'300};     // for a command before its body: a client may take 2 s
 constexpr std::chrono::milliseconds kBodySilence{2'300};  // within a body, without a byte
@@ -143,8 +144,19 @@
     if (leave_at_) CloseBetweenRequests();
   }
 
+  // More has come than is read ahead while answers are owed: its end can't be read.
+  bool blind() const {
+    return !broken_ && state_ != State::kLingering && !slots_.empty() &&
+           ReadSize(connection_.get()) >= kReadAhead;
+  }
+  bool HungUp() const { return net::HungUp(connection_.get()); }
+
   void Drain(Clock::time_point commands_until) {
     if (state_ != State::kOpen) return;
+    // What has come by now is taken: a new connection's first request lies at its socket, and closed over it
+    // would be answered by a reset.
+    const std::size_t most = std::max(reserved_, kReadAhead), have = ReadSize(connection_.get());
+    if (have < most) ReadNow(connection_.get(), most - have);
     Read();
     if (state_ == State::kOpen && partial_since_ && Clock::now() < commands_until) return;
     // What has come is taken; nothing more is, or a client that always has one more request out would hold up
@@ -254,7 +266,6 @@
     wants_ = need_;
     waits_ = !side_.bodies_.Ask(*this, wants_);
     if (!waits_) Reserved();
-    if (waits_) bufferevent_disable(connection_.get(), EV_READ);
     return !waits_;
   }
   void Reserved() {
@@ -265,7 +276,6 @@
     waits_ = false;
     came_ = Clock::now();
     Reserved();
-    if (state_ == State::kOpen && !paused_) bufferevent_enable(connection_.get(), EV_READ);
   }
   void Unreserve() {
     if (reserved_ == 0) return;
@@ -397,16 +407,11 @@
     return slots_.size() >= kMaxPending || held_ + Unwritten(connection_.get()) > kMaxUnread;
   }
 
-  // Back-pressure: a client that does not take its answers, or is owed many, is not read from.
+  // Back-pressure: of a client that does not take its answers, or is owed many, no command is taken, and no
+  // more is read than is read ahead of any. Up to there its end is seen at once; behind more by a look.
   void Flow() {
-    const bool pause = state_ == State::kOpen && Full();
-    if (pause == paused_ || state_ == State::kLingering) return;
-    paused_ = pause;
-    if (pause) {
-      bufferevent_disable(connection_.get(), EV_READ);
-    } else if (!waits_) {
-      bufferevent_enable(connection_.get(), EV_READ);
-    }
+    if (state_ != State::kLingering) paused_ = state_ == State::kOpen && Full();
+    if (blind()) side_.WatchBlind();
   }
 
   void Written() {
@@ -477,6 +482,7 @@
                       evconnlistener_enable(listener_.get());
                     }),
       upkeep_(base, [this] { Upkeep(); }),
+      gone_check_(base, [this] { LookForGone(); }),
       leave_check_(base, [this] { LookLeaving(); }) {
   const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
     static_cast<SenderSide*>(self)->Accept(fd);
@@ -576,6 +582,24 @@
   }
 }
 
+void SenderSide::WatchBlind() {
+  if (!std::exchange(watches_blind_, true)) gone_check_.Arm(kGoneCheck);
+}
+
+void SenderSide::LookForGone() {
+  watches_blind_ = false;
+  std::vector<Connection*> gone;
+  for (const auto& connection : connections_) {
+    if (!connection->blind()) continue;
+    if (connection->HungUp()) {
+      gone.push_back(connection.get());
+    } else {
+      WatchBlind();
+    }
+  }
+  for (Connection* connection : gone) Remove(connection);  // found by its address, which may be gone
+}
+
 // Closes the connection that can best be spared; its client opens another when it needs one.
 bool SenderSide::MakeRoom() {
   const auto now = Clock::now();
@@ -616,10 +640,16 @@
   // Called again until nothing is owed: the listener is there the first time only. Without the check a
   // SIGTERM with an answer owed was a crash.
   if (listener_) {
+    // First those that are there: what ends makes room for what the machine has accepted.
+    DrainAll(commands_until);
     if (!inherited_) AcceptWaiting();
     listener_.reset();
     accept_again_.Disarm();
   }
+  DrainAll(commands_until);
+}
+
+void SenderSide::DrainAll(Clock::time_point commands_until) {
   for (auto it = connections_.begin(); it != connections_.end();) {
     Connection& connection = **it++;  // it may go away
     connection.Drain(commands_until);
--- a/src/net/sender_side.h
+++ b/src/net/sender_side.h
@@ -102,6 +102,9 @@
   bool MakeRoom();
   void Upkeep();
   void LookLeaving();
+  void WatchBlind();
+  void LookForGone();
+  void DrainAll(Clock::time_point commands_until);
   Clock::time_point Crowded(Clock::time_point now) const;
 
   event_base* base_;
@@ -120,6 +123,8 @@
   unsigned accepted_ = 0;
   Timer accept_again_;
   Timer upkeep_;
+  bool watches_blind_ = false;
+  Timer gone_check_;
   Timer leave_check_;
   RareLog turned_away_, accept_failed_;
 };
--- a/src/ops/lifecycle.cpp
+++ b/src/ops/lifecycle.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLongestCommand{2'000};
+constexpr std::chrono::milliseconds kLongestWait{3'000};  // of the platform before it kills, and ...
+constexpr std::chrono::milliseconds kMore{700};           // ... so much more
+constexpr std::chrono::milliseconds kSpare{100};          // of that, for the way out
 
 }  // namespace
 
@@ -30,6 +33,11 @@
          std::min<std::chrono::microseconds>(longest_deadline, kLongestCommand);
 }
 
+Lifecycle::Clock::time_point Lifecycle::AnswerBy(std::chrono::microseconds longest_deadline) const {
+  return stopped_.value_or(Clock::time_point()) +
+         std::min<std::chrono::microseconds>(longest_deadline, kLongestWait) + kMore - kSpare;
+}
+
 Lifecycle::State Lifecycle::state() const {
   if (stopped_) return State::kStopping;
   if (drained_) return State::kDraining;
--- a/src/ops/lifecycle.h
+++ b/src/ops/lifecycle.h
@@ -27,6 +27,10 @@
   void Stop(Clock::time_point now);
 
   State state() const;
+  // After Stop: when the last answer has to be out, whatever its request still waits for. The platform may
+  // kill from the longest deadline, counted as 3 s where it is longer, and 0.7 s after SIGTERM on.
+  Clock::time_point AnswerBy(std::chrono::microseconds longest_deadline) const;
+
   // What PING and readyz say.
   bool serves() const { return state() == State::kServing; }
   bool stopping() const { return stopped_.has_value(); }
--- a/tests/net/attempt_test.cpp
+++ b/tests/net/attempt_test.cpp
@@ -103,5 +103,76 @@
   CHECK(other.Accept().Command().at(2) == "one");
 }
 
+TEST_CASE("a name that comes back elsewhere, or anew, gets nothing over a connection to what it was") {
+  const bool moved = GENERATE(true, false);
+  Site site(1, NoQuota());
+  site.Start(1);
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  Peer old = site.hop(0).Accept();
+  old.Command();
+  Port other;
+  const Port& place = moved ? other : site.hop(0);
+  site.Tell(Site::List(false, {{{"name", "s-0"},
+                                {"address", place.address()},
+                                {"since_ms", moved ? 0 : 1'700'000'000'000},
+                                {"status", "Ready"}}}));
+  site.watch().Until("\r\n\r\n");  // the next call: the list is in force
+  old.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");  // what was under way ends as it would
+  client.Send(Read("two"));
+  Peer now = (moved ? other : site.hop(0)).Accept();
+  CHECK(now.Command().at(2) == "two");
+  CHECK(old.Ended());
+}
+
+TEST_CASE("what waits for a dial to a place that its next hop has left goes to the new place") {
+  json changes = NoQuota();
+  // No second copy of it goes anywhere: what is sent is the one that waited.
+  changes["settings"]["Classes"] = {
+      {{"Name", "change"}, {"Aim", 60'000'000}, {"HardLimit", 60'000'000}, {"Effect", "unsafe"}}};
+  Site site(0, changes);
+  SlowPort slow;
+  site.Start(0, {{{"name", "s-0"}, {"address", slow.address()}, {"status", "Ready"}}});
+  Peer client = site.Client();
+  client.Send(Command(
+      {"API.WRITE", "0000000000000001", "one", "c=change,t=team,d=60000,units=1,spread=2,first=0", "x"}));
+  slow.Dialled();
+  Port other;
+  site.Tell(Site::List(false, {{{"name", "s-0"}, {"address", other.address()}, {"status", "Ready"}}}));
+  CHECK(other.Accept().Command().at(2) == "one");
+  slow.Left();
+}
+
+TEST_CASE(
+    "where next hops are seen to answer twice, a second answer that is late is never the next request's") {
+  const bool behind = GENERATE(true, false);  // the first second answer: with its answer, or on its own
+  Site site(1, NoQuota());
+  site.Start(1);
+  Peer client = site.Client();
+  client.Send(Read("zero"));
+  Peer first = site.hop(0).Accept();
+  first.Command();
+  first.Send(behind ? std::string(kValue) + kValue : std::string(kValue));
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  if (!behind) first.Send(kValue);
+  CHECK(first.Ended());
+  client.Send(Read("one"));
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  // The answer and the next request meet: that one is read as soon as the connection is free.
+  site.Pause();
+  hop.Send(kValue);
+  client.Send(Read("two"));
+  site.Resume();
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  Peer second = site.hop(0).Accept();
+  CHECK(second.Command().at(2) == "two");
+  hop.Send(kValue);
+  CHECK(hop.Ended());
+  second.Send("*3\r\n$2\r\nno\r\n$-1\r\n$-1\r\n");
+  CHECK(client.Until("no\r\n") == "$2\r\nno\r\n");
+}
+
 }  // namespace
 }  // namespace postspread
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -110,6 +111,7 @@
     setsockopt(socket_.fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     socket_.Close();
   }
+  void HalfClose() { shutdown(socket_.fd(), SHUT_WR); }
   // True once the other end has closed with nothing left unread.
   bool Ended() { return !Fill() && buffer_.empty(); }
   // True where something is there to be read at this moment.
@@ -178,6 +180,10 @@
 inline std::string Read(std::string_view id) {
   return Command({"API.READ", "0000000000000001", id, "c=lookup,t=team,d=60000,units=1,spread=2,first=0"});
 }
+// Settings under which a request is cleared without a word of the counter.
+inline json NoQuota() {
+  return {{"settings", {{"Contracts", {{{"Name", "team"}, {"PerSecond", 0}, {"Depth", 0}}}}}}};
+}
 inline const char* const kValue = "*3\r\n$2\r\nhi\r\n$-1\r\n$9\r\nutil=0.25\r\n";
 
 inline int FreeNumber() {
@@ -358,6 +364,11 @@
     return 0;
   }
   void Terminate() { kill(pid_, SIGTERM); }
+  // Holds the process to `count` descriptors, as the platform does.
+  void LimitDescriptors(rlim_t count) const {
+    const rlimit limit{count, count};
+    REQUIRE(prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0);
+  }
   // From now on `pid` is the process that is meant; returns the one before.
   pid_t Turn(pid_t pid) { return std::exchange(pid_, pid); }
   void Pause() { kill(pid_, SIGSTOP); }
--- a/tests/partners/slow_port.h
+++ b/tests/partners/slow_port.h
@@ -14,17 +14,13 @@
   SlowPort() : filler_(Connect(port_.number())) {}
   std::string address() const { return port_.address(); }
   Port& port() { return port_; }
-  // Waits until somebody dials; the first packet is dropped by then or is about to be.
-  void Dialled() const {
-    char place[32];
-    std::snprintf(place, sizeof place, " 0100007F:%04X 02 ", static_cast<unsigned>(port_.number()));
-    for (int waited = 0; waited < kPatienceMs; waited += 5) {
-      std::ostringstream table;
-      table << std::ifstream("/proc/net/tcp").rdbuf();
-      if (table.str().find(place) != std::string::npos) return;
-      usleep(5'000);
-    }
-    FAIL("nobody dials");
+  // Waits until so many dial; their first packets are dropped by then or are about to be.
+  void Dialled(int count = 1) const {
+    Await([count](int dials) { return dials >= count; }, "not so many dial: " + std::to_string(count));
+  }
+  // Waits until nobody dials any more.
+  void Left() const {
+    Await([](int dials) { return dials == 0; }, "somebody goes on dialling");
   }
   // From now on what dials gets through.
   void Open() {
@@ -33,6 +29,21 @@
   }
 
  private:
+  template <typename Is>
+  void Await(Is is, const std::string& otherwise) const {
+    char place[32];
+    std::snprintf(place, sizeof place, " 0100007F:%04X 02 ", static_cast<unsigned>(port_.number()));
+    for (int waited = 0; waited < kPatienceMs; waited += 5) {
+      std::ostringstream table;
+      table << std::ifstream("/proc/net/tcp").rdbuf();
+      const std::string text = table.str();
+      int dials = 0;
+      for (std::size_t at = 0; (at = text.find(place, at)) != std::string::npos; ++at) ++dials;
+      if (is(dials)) return;
+      usleep(5'000);
+    }
+    FAIL(otherwise);
+  }
   Port port_{0};
   Peer filler_;
 };
