--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -65,6 +65,11 @@
   out.zone = TextOr(from, "MyZone");
   out.rank = static_cast<int>(IntegerOr(from, "Rank", 0));
   out.group_size = static_cast<int>(IntegerOr(from, "GroupSize", 1));
+  // Numbers count from 0. Where the group is not told there is nothing to hold the number against.
+  if (Find(from, "GroupSize") != nullptr && (out.rank < 0 || out.rank >= out.group_size)) {
+    Bad("members \"Rank\" and \"GroupSize\" contradict one another: " + std::to_string(out.rank) + " of " +
+        std::to_string(out.group_size));
+  }
   out.roster_mode = WordOr(from, "MembershipMode", RosterMode::kPushed,
                            {{"automatic", RosterMode::kPushed}, {"subscribe", RosterMode::kSubscribe}});
   out.weights = WordOr(from, "Weights", WeightMeaning::kNone,
@@ -112,6 +117,7 @@
   out.drain_grace = TimeOr(safety, "DrainGrace");
   out.subscribe_within = TimeOr(safety, "AskWithin");
   out.cold_share = NumberOr(safety, "ColdShare", 1);
+  if (out.cold_share < 0 || out.cold_share > 1) Bad("member \"ColdShare\" is not between 0 and 1");
   out.warm_within = TimeOr(safety, "WarmWithin");
   out.fall_multiple = NumberOr(safety, "FallMultiple", 0);
   out.fall_window = TimeOr(safety, "Fall");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -111,6 +111,12 @@
         "settings: member \"PerSecond\" of \"team\" is below 0");
   CHECK(with("/settings/Contracts/1", Sound()["settings"]["Contracts"][0]) ==
         "settings: two plans are named \"team\"");
+  json group = Sound();
+  group["settings"]["GroupSize"] = 2;
+  group["settings"]["Rank"] = 2;
+  CHECK(Fault(group) == "settings: members \"Rank\" and \"GroupSize\" contradict one another: 2 of 2");
+  CHECK(with("/settings/Safety", {{"ColdShare", 1.5}}) ==
+        "settings: member \"ColdShare\" is not between 0 and 1");
   CHECK(with("/settings/Domain/CountLimit", 0) == "settings: member \"CountLimit\" is not above 0");
   CHECK(with("/settings/Domain/MaxUnits", 0) == "settings: member \"MaxUnits\" is not above 0");
   CHECK_THROWS_WITH(Load([](const char*) { return nullptr; }), "ROUTER_CONFIG is not set");
--- a/tests/net/attempt_test.cpp
+++ b/tests/net/attempt_test.cpp
@@ -174,5 +174,94 @@
   CHECK(client.Until("no\r\n") == "$2\r\nno\r\n");
 }
 
+// Two next hops and a class that must not run twice.
+struct Once {
+  explicit Once(json changes = json::object()) : site(2, Merged(std::move(changes))) {}
+  static json Merged(json changes) {
+    json out = NoQuota();
+    out["settings"]["Classes"] = {
+        {{"Name", "change"}, {"Aim", 60'000'000}, {"HardLimit", 60'000'000}, {"Effect", "unsafe"}}};
+    out.merge_patch(changes);
+    return out;
+  }
+  static std::string Ask() {
+    return Command(
+        {"API.WRITE", "0000000000000001", "one", "c=change,t=team,d=60000,units=1,spread=2,first=0", "x"});
+  }
+  Site site;
+};
+
+TEST_CASE("what may have run once is never sent again: half a refusal, or a reset behind the last byte") {
+  const bool half = GENERATE(true, false);
+  Once once;
+  once.site.Start(2);
+  Peer client = once.site.Client();
+  client.Send(Once::Ask());
+  const int picked = once.site.Dialled();
+  Peer hop = once.site.hop(picked).Accept();
+  if (half) {
+    hop.Command();
+    hop.Send("-BUS");
+  } else {
+    CHECK(hop.HasMore(kPatienceMs));  // all of it is in the machine's hands, and read by nobody
+  }
+  hop.Reset();
+  CHECK(client.Line() == "-ERR failed\r\n");
+  CHECK_FALSE(once.site.hop(0).Asked());
+  CHECK_FALSE(once.site.hop(1).Asked());
+}
+
+TEST_CASE("a dial that comes up in the turn in which its time is over is one attempt, here or elsewhere") {
+  Once once(json{{"settings", {{"Limits", {{"DialTimeout", 500'000}}}}}});
+  SlowPort slow;
+  once.site.Start(0, {{{"name", "s-slow"}, {"address", slow.address()}, {"status", "Ready"}}});
+  Peer client = once.site.Client();
+  client.Send(Once::Ask());
+  slow.Dialled();
+  once.site.Tell(Site::List(false, once.site.Entries(0, 1, "Ready")));
+  once.site.watch().Until("\r\n\r\n");
+  once.site.Pause();
+  slow.Open();
+  Peer late = slow.port().Accept();  // a second after the dial: its time and its success wait together
+  once.site.Resume();
+  if (late.Some(4096).empty()) {
+    Peer hop = once.site.hop(0).Accept();
+    CHECK(hop.Command().at(2) == "one");
+    hop.Send(kValue);
+  } else {
+    late.Send(kValue);
+    CHECK_FALSE(once.site.hop(0).Asked());
+  }
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+TEST_CASE("a list that ends several attempts of one next hop, and moves another, ends each of them once") {
+  Site site(0, NoQuota());
+  SlowPort drains, moves;
+  const auto listed = [&](const char* status, const std::string& place) {
+    return json{{{"name", "s-drains"}, {"address", drains.address()}, {"status", status}},
+                {{"name", "s-moves"}, {"address", place}, {"status", "Ready"}}};
+  };
+  site.Start(0, listed("Ready", moves.address()));
+  Peer client = site.Client();
+  std::string all;
+  for (int i = 0; i < 24; ++i) all += Read("r" + std::to_string(i));
+  client.Send(all);
+  drains.Dialled(2);
+  moves.Dialled(2);
+  Port other;
+  site.Tell(Site::List(false, listed("Gone", other.address())));
+  std::vector<Peer> hops;
+  for (int i = 0; i < 24; ++i) {
+    hops.push_back(other.Accept());
+    hops.back().Command();
+  }
+  CHECK_FALSE(other.Asked());
+  drains.Left();
+  moves.Left();
+  for (Peer& hop : hops) hop.Send(kValue);
+  for (int i = 0; i < 24; ++i) CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
 }  // namespace
 }  // namespace postspread
--- a/tests/net/client_gone_test.cpp
+++ b/tests/net/client_gone_test.cpp
@@ -70,6 +70,28 @@
   w.CheckNothingSent();
 }
 
+TEST_CASE("of several such clients all that go between two looks are noticed, and the others stay") {
+  Waiting w;
+  std::string more;
+  while (more.size() < 100'000) more += Command({"PING"});
+  std::vector<Peer> clients;
+  for (int c = 0; c < 4; ++c) {
+    clients.push_back(w.site.Client());
+    std::string all;
+    for (int i = 0; i < 128; ++i) all += Read("r" + std::to_string(c) + "-" + std::to_string(i));
+    all += more;
+    for (std::size_t at = 0; at < all.size(); usleep(200)) {
+      at += clients.back().SendSome(std::string_view(all).substr(at));
+    }
+  }
+  w.site.Ping();
+  w.site.Pause();
+  for (const int gone : {0, 1, 3}) clients[static_cast<std::size_t>(gone)].Close();
+  w.site.Resume();
+  clients[2].Close();
+  w.CheckNothingSent();
+}
+
 TEST_CASE("a close is noticed while a large body waits for room, and behind a broken command") {
   const bool body = GENERATE(true, false);
   Waiting w(json{{"limits", {{"memory_mb", 32}}}});
--- a/tests/net/stop_test.cpp
+++ b/tests/net/stop_test.cpp
@@ -116,5 +116,41 @@
   CHECK(site.Wait() == 0);
 }
 
+TEST_CASE(
+    "a value that is half passed on at SIGTERM arrives whole, and a body that waits for room is let go") {
+  json changes = NoQuota();
+  changes["limits"] = {{"memory_mb", 32}};
+  Site site(1, changes);
+  site.Start(1);
+  Peer client = site.Client();
+  client.Send(Read("one"));
+  Peer hop = site.hop(0).Accept();
+  hop.Command();
+  const std::string body(500'000, 'v'), head = "$" + std::to_string(body.size()) + "\r\n";
+  hop.Send("*3\r\n" + head + body.substr(0, 1'000));
+  CHECK(client.Until(std::string(100, 'v')).find(head) == 0);
+  const std::string large = "*5\r\n$9\r\nAPI.WRITE\r\n$1\r\na\r\n$1\r\nb\r\n$1\r\nc\r\n$4000000\r\n";
+  std::vector<Peer> bodies;
+  for (int i = 0; i < 3; ++i) bodies.push_back(site.Client()), bodies.back().Send(large + "xx");
+  site.Ping();
+  site.Terminate();
+  while (!site.Refuses()) usleep(10'000);
+  const std::string rest = body.substr(1'000) + "\r\n$-1\r\n$-1\r\n";
+  std::string got;
+  for (std::size_t at = 0; at < rest.size();) {
+    at += hop.SendSome(std::string_view(rest).substr(at));
+    if (!client.HasMore(1)) continue;
+    const std::string part = client.Some(1 << 16);
+    REQUIRE_FALSE(part.empty());  // the connection has ended
+    got += part;
+  }
+  got += client.Bytes(body.size() - 100 + 2 - got.size());
+  CHECK((got == body.substr(100) + "\r\n"));
+  CHECK(client.Ended());
+  client.Close();
+  bodies.clear();
+  CHECK(site.Wait() == 0);
+}
+
 }  // namespace
 }  // namespace postspread
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -114,8 +114,8 @@
   void HalfClose() { shutdown(socket_.fd(), SHUT_WR); }
   // True once the other end has closed with nothing left unread.
   bool Ended() { return !Fill() && buffer_.empty(); }
-  // True where something is there to be read at this moment.
-  bool HasMore() { return !buffer_.empty() || Readable(socket_.fd(), 0); }
+  // True where something is there to be read at this moment, or within so many ms.
+  bool HasMore(int wait_ms = 0) { return !buffer_.empty() || Readable(socket_.fd(), wait_ms); }
   void Close() { socket_.Close(); }
 
  private:
