--- a/src/flow/mail_budget.h
+++ b/src/flow/datagram_budget.h
@@ -3,8 +3,8 @@
 //
 // Order of precedence: the view of the fleet, then the store of keys, then what is told of customers. Who
 // comes later leaves a part of the budget to those before it.
-#ifndef POSTSPREAD_FLOW_MAIL_BUDGET_H_
-#define POSTSPREAD_FLOW_MAIL_BUDGET_H_
+#ifndef POSTSPREAD_FLOW_DATAGRAM_BUDGET_H_
+#define POSTSPREAD_FLOW_DATAGRAM_BUDGET_H_
 
 #include <chrono>
 #include <cstddef>
@@ -12,16 +12,16 @@
 
 namespace postspread::flow {
 
-enum class Mail : std::uint8_t { kFleet, kKeys, kDemand };
+enum class Datagram : std::uint8_t { kFleet, kKeys, kDemand };
 
-class MailBudget {
+class DatagramBudget {
  public:
   // `per_second`: datagrams that one gatekeeper takes in; 0: no bound is known, and none is kept.
-  explicit MailBudget(double per_second) : per_second_(per_second), tokens_(per_second) {}
+  explicit DatagramBudget(double per_second) : per_second_(per_second), tokens_(per_second) {}
 
   // Whether a datagram to so many gatekeepers may go now. One to many may take more than is left, and then
   // the next ones wait for it.
-  bool Take(Mail mail, std::size_t receivers, std::chrono::steady_clock::time_point now);
+  bool Take(Datagram datagram, std::size_t receivers, std::chrono::steady_clock::time_point now);
   void SetPace(double per_second) { per_second_ = per_second; }
   std::uint64_t held_back() const { return held_back_; }
 
@@ -34,4 +34,4 @@
 
 }  // namespace postspread::flow
 
-#endif  // POSTSPREAD_FLOW_MAIL_BUDGET_H_
+#endif  // POSTSPREAD_FLOW_DATAGRAM_BUDGET_H_
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -106,7 +106,7 @@
             *this),
       sender_side_(base, config.listen, config.inherited, ToVocabulary(config.settings), shares_.clients,
                    bodies_, *this),
-      mail_(config.settings.mail_per_s) {
+      datagrams_(config.settings.mail_per_s) {
   if (config.counter) DialCounter(*config.counter);
   RosterCame(config.known, planner::RosterScope::kRemembered);
   discovery_.emplace(base, config.discovery, config.settings.dial_timeout, config.settings.group_size,
@@ -184,7 +184,7 @@
   out.datagrams_sent = counts.sent;
   out.bytes_sent = counts.bytes_sent;
   out.name_conflicts = counts.name_conflicts;
-  out.held_back = counts.held_back + mail_.held_back();
+  out.held_back = counts.held_back + datagrams_.held_back();
   return out;
 }
 
@@ -444,7 +444,8 @@
   if (!peers_) return;
   const bool to_all = step.rank == planner::Tell::kAll;
   const std::size_t others = config_.peers.size() - 1;
-  if (!mail_.Take(to_all ? flow::Mail::kDemand : flow::Mail::kKeys, to_all ? others : 1, Clock::now()))
+  if (!datagrams_.Take(to_all ? flow::Datagram::kDemand : flow::Datagram::kKeys, to_all ? others : 1,
+                       Clock::now()))
     return;
   if (to_all) return peers_->SendToAll(config_.settings.rank, step.bytes);
   peers_->Send(step.rank, step.bytes);
@@ -452,7 +453,7 @@
 
 void Gatekeeper::Do(planner::TellFleet& step) {
   if (fleet_link_) return fleet_link_->SendTo(step.place, step.bytes);
-  if (!peers_ || !mail_.Take(flow::Mail::kFleet, 1, Clock::now())) return;
+  if (!peers_ || !datagrams_.Take(flow::Datagram::kFleet, 1, Clock::now())) return;
   peers_->Send(static_cast<int>(step.place), step.bytes);
 }
 
@@ -504,7 +505,7 @@
                     config.memory_mb != config_.memory_mb || config.sockets != config_.sockets ||
                     plans_stay || times_differ || config.hop_idle != config_.hop_idle ||
                     config.max_open != config_.max_open || keys_differ || fleet_differs;
-  mail_.SetPace(config.settings.mail_per_s);
+  datagrams_.SetPace(config.settings.mail_per_s);
   config_.settings = std::move(settings);
   config_.keys = config.keys;
   NameClasses();
--- a/src/net/gatekeeper.h
+++ b/src/net/gatekeeper.h
@@ -13,7 +13,7 @@
 
 #include "config/config.h"
 #include "flow/byte_budget.h"
-#include "flow/mail_budget.h"
+#include "flow/datagram_budget.h"
 #include "flow/shares.h"
 #include "net/counter_client.h"
 #include "net/discovery_watch.h"
@@ -150,7 +150,7 @@
   std::list<CounterClient> counters_;  // the last is the configuration's; those before it are being left
   SenderSide sender_side_;
   std::optional<DiscoveryWatch> discovery_;
-  flow::MailBudget mail_;
+  flow::DatagramBudget datagrams_;
   std::optional<PeerLink> peers_;
   std::optional<PeerLink> fleet_link_;  // where the view of the fleet has a socket of its own
   std::optional<OpsDoor> door_;
--- a/tests/flow/mail_budget_test.cpp
+++ b/tests/flow/datagram_budget_test.cpp
@@ -1,5 +1,5 @@
 // The one budget of datagrams: its pace, and who goes before whom.
-#include "flow/mail_budget.h"
+#include "flow/datagram_budget.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,37 +11,37 @@
 
 TEST_CASE(
     "all datagrams together keep to the pace, and the view goes before keys and keys before the telling") {
-  MailBudget budget(40);
+  DatagramBudget budget(40);
   Clock::time_point now{std::chrono::seconds(100)};
-  const auto take = [&](Mail mail, std::size_t receivers = 1) {
+  const auto take = [&](Datagram datagram, std::size_t receivers = 1) {
     int out = 0;
-    while (out < 1'000 && budget.Take(mail, receivers, now)) ++out;
+    while (out < 1'000 && budget.Take(datagram, receivers, now)) ++out;
     return out;
   };
   // What each leaves to those before it: 0.4 and 0.25 of a second's datagrams.
-  CHECK(take(Mail::kDemand) == 24);
-  CHECK(take(Mail::kKeys) == 6);
-  CHECK(take(Mail::kFleet) == 10);
-  CHECK_FALSE(budget.Take(Mail::kFleet, 1, now));
+  CHECK(take(Datagram::kDemand) == 24);
+  CHECK(take(Datagram::kKeys) == 6);
+  CHECK(take(Datagram::kFleet) == 10);
+  CHECK_FALSE(budget.Take(Datagram::kFleet, 1, now));
   CHECK(budget.held_back() > 0);
   // A second of floods: no more than the pace, whoever sends.
   int sent = 0;
   for (int i = 0; i < 100; ++i) {
     now += milliseconds(10);
-    sent += take(Mail::kDemand) + take(Mail::kKeys) + take(Mail::kFleet);
+    sent += take(Datagram::kDemand) + take(Datagram::kKeys) + take(Datagram::kFleet);
   }
   CHECK(sent >= 39);
   CHECK(sent <= 41);
   // One to many goes whole, and the next ones wait for it.
   now += std::chrono::seconds(10);
-  CHECK(budget.Take(Mail::kDemand, 299, now));
+  CHECK(budget.Take(Datagram::kDemand, 299, now));
   now += std::chrono::seconds(6);
-  CHECK_FALSE(budget.Take(Mail::kFleet, 1, now));
+  CHECK_FALSE(budget.Take(Datagram::kFleet, 1, now));
   now += std::chrono::seconds(1);
-  CHECK(budget.Take(Mail::kFleet, 1, now));
+  CHECK(budget.Take(Datagram::kFleet, 1, now));
   // Without a bound none is kept.
-  MailBudget free(0);
-  CHECK(free.Take(Mail::kDemand, 10'000, now));
+  DatagramBudget free(0);
+  CHECK(free.Take(Datagram::kDemand, 10'000, now));
 }
 
 }  // namespace
