--- /dev/null
+++ b/tests/net/start_test.cpp
@@ -0,0 +1,65 @@
+// A restarted process is ready within 10 s whatever is away, and never says so before it can serve.
+#include <chrono>
+
+#include "partners/site.h"
+
+namespace postspread {
+namespace {
+
+using namespace site;
+using std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kReadyWithin{10};
+
+enum class Discovery { kSilent, kRefuses, kGone };
+
+TEST_CASE(
+    "with an old list in hand it is ready in time, be discovery down, refusing or gone, and the counter "
+    "away") {
+  const Discovery how = GENERATE(Discovery::kSilent, Discovery::kRefuses, Discovery::kGone);
+  Port node;
+  json changes = NoQuota();
+  changes["known"] = Site::List(true, {{{"name", "s-0"}, {"address", node.address()}, {"status", "Ready"}}});
+  Site site(0, changes);
+  const auto started = steady_clock::now();
+  site.counter().Close();
+  if (how == Discovery::kGone) site.discovery().Close();
+  if (how == Discovery::kRefuses) {
+    Peer watch = site.discovery().Accept();
+    watch.Until("\r\n\r\n");
+    watch.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  }
+  site.WaitUntilReady();
+  CHECK(steady_clock::now() - started < kReadyWithin);
+  Peer client = site.Client();  // ready is true: it serves
+  client.Send(Read("one"));
+  Peer hop = node.Accept();
+  CHECK(hop.Command().at(2) == "one");
+  hop.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+TEST_CASE(
+    "with no list in hand and discovery refusing it is not ready, and is as soon as the list has come") {
+  Site site(1, {{"settings", {{"GroupSize", 300}}}});
+  Peer first = site.discovery().Accept();
+  CHECK(first.Until("\r\n\r\n").find("GET /api/targets HTTP/1.1\r\n") == 0);
+  Peer calls = site.counter().Accept();
+  CHECK(site.Ping() == "-LOADING not serving\r\n");
+  first.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  const auto refused = steady_clock::now();
+  Peer second = site.discovery().Accept();
+  second.Until("\r\n\r\n");
+  second.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  Peer third = site.discovery().Accept();
+  third.Until("\r\n\r\n");
+  CHECK(site.Ping() ==
+        "-LOADING not serving\r\n");  // its second has passed by now, and it has nothing to serve by
+  Site::Tell(third, Site::List(true, site.Entries(0, 1, "Ready")));
+  third.Until("\r\n\r\n");
+  CHECK(site.Ping() == "+PONG\r\n");
+  CHECK(steady_clock::now() - refused < kReadyWithin);
+}
+
+}  // namespace
+}  // namespace postspread
