Review rig: what timers hold is destroyed before the table of sockets

Cause: at the exit a held connection could touch a destroyed table. Change: the order of two members. Result: the cases exit with their own code.

--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -112,8 +112,8 @@
       callback();
     }
   }
-  std::multimap<Clock::time_point, Callback> timers_;
   std::map<int, Watched> watched_;
+  std::multimap<Clock::time_point, Callback> timers_;  // destroyed first: what they hold forgets its socket
 };
 
 inline sockaddr_in Loopback(int port) {
