Log and measure attempts that end undelivered and commands that wait for memory

Change: a log line for an attempt that ends undelivered, one and a counted violation for an attempt written after its window, one for commands that wait for memory, and two gauges of the budget.

--- a/src/net/downstream/client_connection.cpp
+++ b/src/net/downstream/client_connection.cpp
@@ -307,6 +307,12 @@
     // Pending requests are failed, so that the client receives the protocol error soon.
     return responses_.FailAll([this](Slot slot) { Fail(slot, planner::FailureReason::kFailed); });
   }
+  if (reader_.IsWaitingForMemory()) {
+    context_.memory_wait_log("command waits for memory",
+                             std::to_string(context_.large_requests.waiting()) + " wait, reserved " +
+                                 std::to_string(context_.large_requests.used()) + " of " +
+                                 std::to_string(context_.large_requests.total()) + " bytes");
+  }
   if (state_ != State::kOpen || !responses_.empty()) return;
   if (reader_.IsOverdue(now)) {
     OnProtocolError("command not finished in time");
--- a/src/net/downstream/command_reader.h
+++ b/src/net/downstream/command_reader.h
@@ -54,6 +54,8 @@
   // Returns whether the incomplete command is overdue. The time since its first byte bounds the head and the
   // body; the time since the last byte also bounds the body. The wait for a reservation does not count.
   [[nodiscard]] bool IsOverdue(Clock::time_point now) const;
+  // Returns whether more of the command is read only once memory is granted.
+  [[nodiscard]] bool IsWaitingForMemory() const { return is_queued_; }
   // Returns whether the read buffer holds as many bytes as are read ahead.
   [[nodiscard]] bool IsReadAheadFull() const;
 
--- a/src/net/downstream/connection_context.h
+++ b/src/net/downstream/connection_context.h
@@ -24,6 +24,7 @@
   // and is rejected, because it could be executed in place of the first.
   std::unordered_set<std::size_t> pending_ids{};
   RateLimitedLog rejected_command_log{};
+  RateLimitedLog memory_wait_log{};
 };
 
 }  // namespace postspread::net
--- a/src/net/gateway/admin_service.cpp
+++ b/src/net/gateway/admin_service.cpp
@@ -14,6 +14,8 @@
   const Controller::UpstreamCounts upstreams = collaborators_.planner.Count(Clock::now());
   ops::Gauges gauges{.pending = collaborators_.in_flight.size() + collaborators_.streams.size(),
                      .client_connections = collaborators_.clients.size(),
+                     .large_request_bytes = collaborators_.large_requests.used(),
+                     .large_requests_waiting = collaborators_.large_requests.waiting(),
                      .members = upstreams.total,
                      .members_unavailable = upstreams.avoided};
   if (const membership::Membership* membership = collaborators_.planner.membership()) {
--- a/src/net/gateway/admin_service.h
+++ b/src/net/gateway/admin_service.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "flow/byte_budget.h"
 #include "net/downstream/client_listener.h"
 #include "net/gateway/in_flight_requests.h"
 #include "net/gateway/peer_datagrams.h"
@@ -25,6 +26,7 @@
     const InFlightRequests& in_flight;
     const ResponseStreams& streams;
     const PeerDatagrams& peers;
+    const flow::ByteBudget& large_requests;
     const ops::Metrics& metrics;
   };
   explicit AdminService(const Collaborators& collaborators) : collaborators_(collaborators) {}
--- a/src/net/gateway_server.cpp
+++ b/src/net/gateway_server.cpp
@@ -86,6 +86,7 @@
                       .in_flight = in_flight_,
                       .streams = streams_,
                       .peers = peers_,
+                      .large_requests = large_request_budget_,
                       .metrics = metrics_}) {
   peers_.Open(base, operator_config);
   idempotency_log_.Start();
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cassert>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "net/upstream/pooled_upstream.h"
@@ -84,6 +85,7 @@
 void UpstreamConnection::Close(AttemptResult result) {
   const State last_state = state_;
   const bool was_reported = IsReported();
+  if (last_state == State::kAwaitingReply) LogIfUndelivered(result);
   const std::unique_ptr<UpstreamConnection> self = owner_.Remove(*this);
   Transition(State::kClosed);
   if (last_state == State::kIdle) return;
@@ -98,6 +100,17 @@
   }
 }
 
+// Logs an attempt that ends before the upstream's machine has acknowledged its last byte.
+void UpstreamConnection::LogIfUndelivered(AttemptResult result) {
+  const std::size_t unwritten = Unwritten(connection_.get());
+  const std::size_t unacknowledged = Unacknowledged(connection_.get());
+  if (unwritten == 0 && unacknowledged == 0) return;
+  context_.undelivered_log("attempt ended undelivered",
+                           upstream_.name + " " + std::string(planner::Name(result)) +
+                               ", unwritten=" + std::to_string(unwritten) +
+                               " unacknowledged=" + std::to_string(unacknowledged));
+}
+
 void UpstreamConnection::CloseIfUnsent() {
   if (IsUnsent()) Close(AttemptResult::kConnectFailed);
 }
@@ -172,6 +185,11 @@
   if (is_idle() || IsUnsent() || Unwritten(connection_.get()) > 0) return;
   if (std::exchange(attempt_.is_fully_written, true)) return;
   context_.listener.OnAttemptWritten();
+  const auto late = duration_cast<milliseconds>(Clock::now() - attempt_.begin_by);
+  if (late.count() <= 0) return;
+  context_.late_log("attempt written after its retry window",
+                    upstream_.name + ", " + std::to_string(late.count()) + " ms late");
+  context_.listener.OnRuleViolated(safety::Rule::kRetryWindow);
 }
 
 // ---- Events of the connection
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -34,6 +34,8 @@
   StallTimeout stall_timeout{};
   std::string write_buffer{};  // scratch space
   RateLimitedLog malformed_log{};
+  RateLimitedLog undelivered_log{};
+  RateLimitedLog late_log{};
 };
 
 // Owns the connections and the index of attempts by key.
@@ -128,6 +130,7 @@
   void ArmStallTimer();
   void CloseMalformed();
   void Report(const UpstreamReply& outcome);
+  void LogIfUndelivered(planner::AttemptResult result);
 
   UpstreamConnectionContext& context_;
   UpstreamConnectionOwner& owner_;
--- a/src/ops/metrics.cpp
+++ b/src/ops/metrics.cpp
@@ -146,6 +146,8 @@
                "rule", ByName<safety::Rule>(metrics.rules.prevented)),
       Gauge("client_connections", "Connections of clients", gauges.client_connections),
       Gauge("pending", "Requests taken and not ended", gauges.pending),
+      Gauge("large_request_bytes", "Bytes reserved for large requests", gauges.large_request_bytes),
+      Gauge("large_requests_waiting", "Large requests that wait for memory", gauges.large_requests_waiting),
       Gauge("members", "Workers in the list", gauges.members),
       Gauge("members_unavailable", "Listed workers that are avoided now", gauges.members_unavailable),
       Counter("config_reloads", "Configurations taken on at SIGHUP", metrics.config_reloads),
--- a/src/ops/metrics.h
+++ b/src/ops/metrics.h
@@ -105,6 +105,10 @@
   std::size_t pending = 0;
   // Counts open connections of clients, including those that linger.
   std::size_t client_connections = 0;
+  // The bytes that are reserved for large requests while they are read and while they are in flight.
+  std::size_t large_request_bytes = 0;
+  // Counts large requests that wait for memory before more of them is read.
+  std::size_t large_requests_waiting = 0;
   // Counts upstreams in the endpoint list.
   std::size_t members = 0;
   // Counts upstreams in the endpoint list that the planner avoids now.
