A message's rest leaves only while its window, client and deadline allow

The new log lines show unwritten=0 and unacknowledged=1113327, and no line of an attempt written late: the kernel's send buffer held the rest. With 4 MB the gateway's own buffer holds it too.

Change: safety::MayDeliver is asked before each further piece and when its window ends, until the upstream's machine has acknowledged all; MessageWriter keeps the rest out of the event loop's buffer; a connection whose socket still holds bytes is reset, so that nothing follows; a first attempt is limited as well, by the window of a later one; what is partly sent ends with its client, where attempts can't be cancelled too. On the way: a connection whose request is not written whole isn't reused, and a value that comes before the last byte is no response.

--- a/include/postspread/control.h
+++ b/include/postspread/control.h
@@ -248,8 +248,9 @@
   RequestId id = 0;
   std::string upstream;
   Duration timeout{0};
-  // The first byte must not be sent later than this: upstreams might no longer recognize the idempotency key.
-  Duration start_timeout{0};
+  // The last byte must arrive within this time: later, upstreams might no longer recognize the idempotency
+  // key.
+  Duration arrival_timeout{0};
 };
 
 // Ends a request with a final response after which the client may safely retry.
--- a/src/net/gateway/in_flight_requests.h
+++ b/src/net/gateway/in_flight_requests.h
@@ -2,6 +2,7 @@
 #ifndef POSTSPREAD_NET_GATEWAY_IN_FLIGHT_REQUESTS_H_
 #define POSTSPREAD_NET_GATEWAY_IN_FLIGHT_REQUESTS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
@@ -20,6 +21,8 @@
   resp::EncodedRequest encoded;
   // This is the retry safety that the request's class had when the request was admitted.
   RetrySafety retry_safety = RetrySafety::kIdempotent;
+  // With an idempotency key: how long upstreams recognize the key after an attempt.
+  std::chrono::microseconds key_ttl{0};
   // The index is the attempt number.
   std::vector<safety::EarlierAttempt> attempts{};
   // This is null if the client has disconnected and other requests need the result.
--- a/src/net/gateway/request_dispatcher.cpp
+++ b/src/net/gateway/request_dispatcher.cpp
@@ -17,10 +17,12 @@
 // This stands for a request that was rejected before the planner assigned an id; the planner never assigns 0.
 constexpr RequestId kNoRequest = 0;
 
-RetrySafety RetrySafetyOf(const Settings& settings, std::string_view class_name) {
+// Returns the settings of a class, or the strictest ones if the class is unknown.
+const ClassSettings& FindClass(const Settings& settings, std::string_view class_name) {
+  static const ClassSettings kUnknown{"", Duration(0), Duration(0), RetrySafety::kNotIdempotent};
   const auto found = std::find_if(settings.classes.begin(), settings.classes.end(),
                                   [class_name](const ClassSettings& cls) { return cls.name == class_name; });
-  return found == settings.classes.end() ? RetrySafety::kNotIdempotent : found->retry_safety;
+  return found == settings.classes.end() ? kUnknown : *found;
 }
 
 }  // namespace
@@ -47,8 +49,10 @@
   Request admitted = request;
   admitted.timeout = decision.timeout;
   const planner::Planner::PickResult result = planner_.Pick(admitted, now);
+  const ClassSettings& class_settings = FindClass(settings_, request.class_name);
   in_flight_.Add(result.request_id, {.encoded = std::move(encoded),
-                                     .retry_safety = RetrySafetyOf(settings_, request.class_name),
+                                     .retry_safety = class_settings.retry_safety,
+                                     .key_ttl = class_settings.key_ttl,
                                      .writer = &writer,
                                      .slot = slot,
                                      .metrics = &metrics_.ForClass(request.class_name)});
@@ -71,8 +75,19 @@
   InFlightRequest* in_flight = in_flight_.Find(request);
   if (in_flight == nullptr) return;
   in_flight->writer = nullptr;
-  if (!planner_.OutlivesClient(request)) in_flight_.Release(request);
+  std::optional<InFlightRequest> released;
+  if (!planner_.OutlivesClient(request)) released = in_flight_.Release(request);
   driver_.Report(planner::ClientDisconnected{request});
+  if (released) CancelPartlySent(request, *released);
+}
+
+// An upstream executes an attempt when its last byte arrives, which must not happen after the client has
+// left, whether attempts may be cancelled or not.
+void RequestDispatcher::CancelPartlySent(RequestId id, const InFlightRequest& request) {
+  for (std::size_t attempt = 0; attempt < request.attempts.size(); ++attempt) {
+    if (!request.attempts[attempt].in_flight) continue;
+    pool_.CancelIfPartlySent({id, static_cast<AttemptNumber>(attempt)});
+  }
 }
 
 void RequestDispatcher::FailAllAwaited() {
@@ -101,12 +116,24 @@
                               .result = planner::AttemptResult::kConnectFailed},
                              {});
   }
+  LimitEarlierAttempts(action.request, *request);
   request->attempts.resize(static_cast<std::size_t>(action.attempt) + 1);
   request->attempts.back().in_flight = true;
   // The call gets a copy, since the attempt may end within the call, and the request may be released then.
   const resp::EncodedRequest encoded = request->encoded;
   pool_.StartAttempt({action.request, action.attempt}, action.upstream, encoded, action.timeout,
-                     action.start_timeout);
+                     action.arrival_timeout);
+}
+
+// If the attempt that starts now is executed, the upstreams recognize its key until the end of the window.
+// The last byte of an attempt that is still being sent must arrive before.
+void RequestDispatcher::LimitEarlierAttempts(RequestId id, const InFlightRequest& request) {
+  if (request.retry_safety != RetrySafety::kIdempotencyKey || request.key_ttl.count() == 0) return;
+  const auto arrive_by = Clock::now() + request.key_ttl;
+  for (std::size_t attempt = 0; attempt < request.attempts.size(); ++attempt) {
+    if (!request.attempts[attempt].in_flight) continue;
+    pool_.LimitArrival({id, static_cast<AttemptNumber>(attempt)}, arrive_by);
+  }
 }
 
 void RequestDispatcher::Execute(const planner::RejectWithRetryAfter& action) {
--- a/src/net/gateway/request_dispatcher.h
+++ b/src/net/gateway/request_dispatcher.h
@@ -72,6 +72,8 @@
   void Reject(const Request& request, ops::RejectReason reason, ResponseWriter& writer,
               ResponseWriter::Slot slot);
   void RecordAttemptEnd(const planner::AttemptReport& report);
+  void CancelPartlySent(RequestId id, const InFlightRequest& request);
+  void LimitEarlierAttempts(RequestId id, const InFlightRequest& request);
 
   const Settings& settings_;
   planner::Planner& planner_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -38,6 +38,13 @@
       [&] { return recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT); });
 }
 
+// Returns the length of one of the socket's queues, or 0 if the system does not report it.
+std::size_t QueuedBytes(bufferevent* connection, unsigned long queue) {
+  int bytes = 0;
+  if (ioctl(bufferevent_getfd(connection), queue, &bytes) != 0) return 0;
+  return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
 std::optional<tcp_info> GetTcpInfo(bufferevent* connection) {
   tcp_info info{};
   socklen_t size = sizeof info;
@@ -130,13 +137,11 @@
   if (!bytes.empty()) bufferevent_write(connection, bytes.data(), bytes.size());
 }
 
-bool TryWrite(bufferevent* connection, std::string_view bytes) {
-  const ssize_t sent = RetryInterrupted(
-      [&] { return send(bufferevent_getfd(connection), bytes.data(), bytes.size(), MSG_NOSIGNAL); });
-  if (sent < 0 && IsResourceShortage(errno)) return false;
-  if (sent > 0) bytes.remove_prefix(static_cast<std::size_t>(sent));
-  if (!bytes.empty()) bufferevent_write(connection, bytes.data(), bytes.size());
-  return true;
+std::optional<std::size_t> WriteNow(evutil_socket_t fd, std::string_view bytes) {
+  const ssize_t sent = RetryInterrupted([&] { return send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL); });
+  if (sent >= 0) return static_cast<std::size_t>(sent);
+  if (IsResourceShortage(errno)) return 0;
+  return std::nullopt;
 }
 
 std::size_t Unwritten(bufferevent* connection) {
@@ -185,10 +190,15 @@
 
 bool HasUnreadBytes(bufferevent* connection) { return PeekByte(connection) > 0; }
 
-std::size_t Unacknowledged(bufferevent* connection) {
-  int bytes = 0;
-  if (ioctl(bufferevent_getfd(connection), SIOCOUTQ, &bytes) != 0) return 0;
-  return static_cast<std::size_t>(std::max(bytes, 0));
+std::size_t Unacknowledged(bufferevent* connection) { return QueuedBytes(connection, SIOCOUTQ); }
+
+std::size_t UnsentBySystem(bufferevent* connection) { return QueuedBytes(connection, SIOCOUTQNSD); }
+
+std::size_t UnreadBytes(bufferevent* connection) { return QueuedBytes(connection, SIOCINQ); }
+
+void ResetOnClose(bufferevent* connection) {
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
 }
 
 std::chrono::milliseconds TimeSinceArrival(bufferevent* connection) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -8,8 +8,10 @@
 #include <event2/listener.h>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "config/address.h"
@@ -79,9 +81,9 @@
 // Writes immediately as much as the socket accepts, and leaves the rest to the event loop.
 void Write(bufferevent* connection, std::string_view bytes);
 
-// Does the same as Write on a connection without unwritten bytes, but only if the socket accepts the first
-// byte now. Returns false, with nothing written, if the socket accepts none for the moment.
-bool TryWrite(bufferevent* connection, std::string_view bytes);
+// Writes what the socket accepts now, without the event loop. Returns the number of bytes, which is 0 if the
+// socket accepts none for the moment, or nullopt if the connection is broken.
+std::optional<std::size_t> WriteNow(evutil_socket_t fd, std::string_view bytes);
 
 // Returns the number of bytes written to `connection` that its socket has not accepted yet.
 std::size_t Unwritten(bufferevent* connection);
@@ -105,11 +107,19 @@
 bool HungUp(bufferevent* connection);
 // Returns whether the socket has bytes, an end of stream or an error that the event loop has not read yet.
 bool HasUnreadInput(bufferevent* connection);
+// Returns the number of bytes that wait at the socket; 0 if the system does not report it.
+std::size_t UnreadBytes(bufferevent* connection);
 // Returns whether the socket has bytes that the event loop has not read yet.
 bool HasUnreadBytes(bufferevent* connection);
 // Returns the number of bytes that the socket has accepted and the other end has not acknowledged, including
 // our end of the stream; 0 if the system does not report it.
 std::size_t Unacknowledged(bufferevent* connection);
+// Returns the number of bytes that the socket has accepted and not sent yet; 0 if the system does not report
+// it.
+std::size_t UnsentBySystem(bufferevent* connection);
+// Makes the close of the socket reset the connection. The system then discards the bytes that the other end
+// has not acknowledged instead of delivering them after the close.
+void ResetOnClose(bufferevent* connection);
 // Returns whether the libevent flags `what` report a temporary resource shortage and not the end of the
 // connection. No unwritten bytes are lost, but the socket must be watched again, which the system may refuse
 // as well.
--- /dev/null
+++ b/src/net/upstream/message_writer.cpp
@@ -0,0 +1,63 @@
+#include "net/upstream/message_writer.h"
+
+#include <cerrno>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace postspread::net {
+namespace {
+
+constexpr std::chrono::milliseconds kRetryInterval{5};  // while the system is short of resources
+
+}  // namespace
+
+MessageWriter::MessageWriter(event_base* base, std::function<void()> on_writable)
+    : base_(base), on_writable_(std::move(on_writable)), retry_(base, [this] { on_writable_(); }) {}
+
+MessageWriter::Progress MessageWriter::Begin(evutil_socket_t fd, const Message& message) {
+  fd_ = fd;
+  head_.clear();
+  tail_ = {};
+  const std::optional<std::size_t> written = WriteNow(fd, message.head);
+  if (written && *written == 0) return Progress::kNothing;
+  const std::size_t head_written = written.value_or(0);
+  if (head_written == message.head.size() && message.tail.empty()) return Progress::kWritten;
+  head_ = message.head.substr(head_written);
+  tail_ = message.tail;
+  owner_ = message.owner;
+  return written ? Write() : Progress::kBroken;
+}
+
+MessageWriter::Progress MessageWriter::Continue() { return Write(); }
+
+MessageWriter::Progress MessageWriter::Write() {
+  while (remaining() > 0) {
+    const std::optional<std::size_t> written = WriteNow(fd_, head_.empty() ? tail_ : std::string_view(head_));
+    if (!written) return Progress::kBroken;
+    if (*written == 0) {
+      AwaitWritable();
+      return Progress::kBlocked;
+    }
+    if (head_.empty()) {
+      tail_.remove_prefix(*written);
+    } else {
+      head_.erase(0, *written);
+    }
+  }
+  owner_.reset();
+  return Progress::kWritten;
+}
+
+void MessageWriter::AwaitWritable() {
+  const bool is_full = errno == EAGAIN || errno == EWOULDBLOCK;
+  if (is_full && !writable_) {
+    writable_.reset(event_new(
+        base_, fd_, EV_WRITE,
+        [](evutil_socket_t, short, void* self) { static_cast<MessageWriter*>(self)->on_writable_(); }, this));
+  }
+  const bool is_watched = is_full && writable_ && event_add(writable_.get(), nullptr) == 0;
+  if (!is_watched) retry_.Arm(kRetryInterval);
+}
+
+}  // namespace postspread::net
--- a/src/net/upstream/upstream_attempt.cpp
+++ b/src/net/upstream/upstream_attempt.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <memory>
 #include <string_view>
 
 namespace postspread::net {
@@ -10,19 +9,19 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxCopiedTail = std::size_t{16} * 1024;  // bytes; a longer tail is sent by reference
+constexpr std::size_t kMaxCopiedTail = std::size_t{16} * 1024;  // bytes; a longer tail is sent without a copy
 
 }  // namespace
 
 UpstreamAttempt UpstreamAttempt::ForRequest(const AttemptKey& key, const resp::EncodedRequest& message,
                                             std::chrono::microseconds timeout,
-                                            std::chrono::microseconds start_timeout) {
+                                            std::chrono::microseconds arrival_timeout) {
   const auto now = Clock::now();
   UpstreamAttempt attempt;
   attempt.key = key;
   attempt.message = message;
   attempt.started_at = now;
-  attempt.begin_by = now + start_timeout;
+  attempt.arrive_by = now + arrival_timeout;
   attempt.deadline = now + timeout;
   return attempt;
 }
@@ -42,14 +41,24 @@
                                                             AttemptListener& listener,
                                                             Clock::time_point now) const {
   safety::AttemptFacts& facts = connection;
-  facts.begin_by = begin_by;
+  facts.arrive_by = arrive_by;
   facts.deadline = deadline;
   if (is_health_check()) return safety::MayProbe(facts);
   facts.client_waits = listener.IsStillNeeded(key.request);
   return safety::MayBegin(facts, now);
 }
 
-bool UpstreamAttempt::Write(bufferevent* connection, std::string& buffer) const {
+safety::DeliveryFacts UpstreamAttempt::DeliveryFactsOn(bufferevent* connection, std::size_t unwritten,
+                                                       AttemptListener& listener) const {
+  return {.client_waits = is_health_check() || listener.IsStillNeeded(key.request),
+          .unsent = unwritten + UnsentBySystem(connection),
+          .unacknowledged = unwritten + Unacknowledged(connection),
+          .arrive_by = arrive_by,
+          .deadline = deadline};
+}
+
+MessageWriter::Progress UpstreamAttempt::BeginWriting(MessageWriter& writer, evutil_socket_t fd,
+                                                      std::string& buffer) const {
   const std::string_view tail = message.tail();
   const bool is_copied = tail.size() <= kMaxCopiedTail;
   buffer.clear();
@@ -57,14 +66,8 @@
   const auto time_left = std::chrono::floor<milliseconds>(deadline - Clock::now());
   message.RenderHead(std::max(milliseconds(1), time_left), buffer);
   if (is_copied) buffer += tail;
-  if (!TryWrite(connection, buffer)) return false;
-  if (is_copied) return true;
-  using SharedText = std::shared_ptr<const std::string>;
-  evbuffer_add_reference(
-      bufferevent_get_output(connection), tail.data(), tail.size(),
-      [](const void*, std::size_t, void* text) { delete static_cast<SharedText*>(text); },
-      new SharedText(message.text()));
-  return true;
+  return writer.Begin(
+      fd, {.head = buffer, .tail = is_copied ? std::string_view() : tail, .owner = message.text()});
 }
 
 }  // namespace postspread::net
--- a/src/net/upstream/upstream_attempt.h
+++ b/src/net/upstream/upstream_attempt.h
@@ -1,4 +1,4 @@
-// One attempt or health check on a connection: its message, its deadline, and the check whether it may still
+// One attempt or health check on a connection: its message, its deadline, and the checks whether it may still
 // be sent.
 #ifndef POSTSPREAD_NET_UPSTREAM_UPSTREAM_ATTEMPT_H_
 #define POSTSPREAD_NET_UPSTREAM_UPSTREAM_ATTEMPT_H_
@@ -9,6 +9,7 @@
 
 #include "net/loop.h"
 #include "net/upstream/attempt_listener.h"
+#include "net/upstream/message_writer.h"
 #include "resp/request.h"
 #include "safety/attempt_rules.h"
 
@@ -17,10 +18,10 @@
 struct UpstreamAttempt {
   enum class Kind { kRequest, kHealthCheck };
 
-  // The attempt starts now and ends within `timeout`. Its first byte must arrive within `start_timeout`.
+  // The attempt starts now and ends within `timeout`. Its last byte must arrive within `arrival_timeout`.
   static UpstreamAttempt ForRequest(const AttemptKey& key, const resp::EncodedRequest& message,
                                     std::chrono::microseconds timeout,
-                                    std::chrono::microseconds start_timeout);
+                                    std::chrono::microseconds arrival_timeout);
   static UpstreamAttempt ForHealthCheck(std::chrono::microseconds timeout);
 
   [[nodiscard]] bool is_health_check() const { return kind == Kind::kHealthCheck; }
@@ -32,15 +33,19 @@
                                                            AttemptListener& listener,
                                                            Clock::time_point now) const;
 
-  // Writes the request with its remaining time. Returns whether the first byte has been sent; if not, nothing
-  // has been written. `buffer` is scratch space.
-  bool Write(bufferevent* connection, std::string& buffer) const;
+  // Returns the facts that decide whether the rest of the message may be delivered over `connection`, of
+  // which `unwritten` bytes wait in this process.
+  [[nodiscard]] safety::DeliveryFacts DeliveryFactsOn(bufferevent* connection, std::size_t unwritten,
+                                                      AttemptListener& listener) const;
+
+  // Begins to write the request with its remaining time. `buffer` is scratch space.
+  MessageWriter::Progress BeginWriting(MessageWriter& writer, evutil_socket_t fd, std::string& buffer) const;
 
   Kind kind = Kind::kRequest;
   AttemptKey key;                // set for a request only
   resp::EncodedRequest message;  // set for a request only, until its first byte has been sent
   Clock::time_point started_at;
-  Clock::time_point begin_by;  // the latest arrival of the first byte
+  Clock::time_point arrive_by;  // the latest arrival of the last byte
   Clock::time_point deadline;
   // Whether the last byte has been written to the socket, so that the attempt is counted once. Always true
   // for a health check, which is not counted.
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -34,14 +34,20 @@
       owner_(owner),
       upstream_(upstream),
       incarnation_(upstream.incarnation),
+      writer_(context.base, [this] { ContinueWriting(); }),
       timer_(context.base, [this] { OnTimeout(); }) {}
 
+UpstreamConnection::~UpstreamConnection() {
+  // After a plain close the system would deliver these bytes later, when no rule is checked any more.
+  if (connection_ && Unacknowledged(connection_.get()) > 0) ResetOnClose(connection_.get());
+}
+
 bool UpstreamConnection::Connect() {
   connect_started_at_ = Clock::now();
   connection_ = Dial(
       context_.base, upstream_.address,
       [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->OnReadable(); },
-      [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->OnWritten(); },
+      /*on_written=*/nullptr,
       [](bufferevent*, short what, void* self) { static_cast<UpstreamConnection*>(self)->OnEvent(what); },
       this);
   if (!connection_) return false;
@@ -101,8 +107,8 @@
 }
 
 // Logs an attempt that ends before the upstream's machine has acknowledged its last byte.
-void UpstreamConnection::LogIfUndelivered(AttemptResult result) {
-  const std::size_t unwritten = Unwritten(connection_.get());
+void UpstreamConnection::LogIfUndelivered(AttemptResult result) const {
+  const std::size_t unwritten = writer_.remaining();
   const std::size_t unacknowledged = Unacknowledged(connection_.get());
   if (unwritten == 0 && unacknowledged == 0) return;
   context_.undelivered_log("attempt ended undelivered",
@@ -115,6 +121,11 @@
   if (IsUnsent()) Close(AttemptResult::kConnectFailed);
 }
 
+void UpstreamConnection::CloseIfPartlySent() {
+  if (state_ != State::kAwaitingReply || DeliveryFacts().unsent == 0) return;
+  Close(writer_.remaining() > 0 ? AttemptResult::kConnectFailed : AttemptResult::kCancelled);
+}
+
 // Neither the reply nor the connection can be used. The upstream has executed the request.
 void UpstreamConnection::CloseMalformed() {
   context_.malformed_log("upstream response is malformed", upstream_.name);
@@ -156,42 +167,86 @@
 // Checks the rules again right before the first byte is sent, and with each retry while the socket's send
 // buffer is full, since the decision to start the attempt may be outdated.
 void UpstreamConnection::SendIfAllowed() {
-  const auto now = Clock::now();
   const std::optional<safety::Rule> rule =
       attempt_.FindBrokenRule({.upstream_ready = IsUpstreamReady(),
                                .connection_current = LeadsToCurrentProcess(),
                                .max_transit_time = delay_bound_,
-                               .begin_by = {},
+                               .arrive_by = {},
                                .deadline = {}},
-                              context_.listener, now);
+                              context_.listener, Clock::now());
   if (rule) {
     context_.listener.OnRulePrevented(*rule);
     return Close(AttemptResult::kConnectFailed);
   }
-  if (!StartWriting()) return timer_.Arm(kSendRetryInterval);
+  const MessageWriter::Progress progress = BeginWriting();
+  if (progress == MessageWriter::Progress::kNothing) return timer_.Arm(kSendRetryInterval);
   Transition(State::kAwaitingReply);
   attempt_.message = {};
-  OnWritten();
-  timer_.Arm(duration_cast<microseconds>(attempt_.deadline - now));
+  OnProgress(progress);
+}
+
+MessageWriter::Progress UpstreamConnection::BeginWriting() {
+  const evutil_socket_t fd = bufferevent_getfd(connection_.get());
+  if (attempt_.is_health_check()) return writer_.Begin(fd, {.head = context_.health_check_command});
+  return attempt_.BeginWriting(writer_, fd, context_.write_buffer);
 }
 
-// Returns whether the first byte has been sent.
-bool UpstreamConnection::StartWriting() {
-  if (attempt_.is_health_check()) return TryWrite(connection_.get(), context_.health_check_command);
-  return attempt_.Write(connection_.get(), context_.write_buffer);
+// The socket accepts bytes again, after a time in which the decision to send them may have become outdated.
+void UpstreamConnection::ContinueWriting() {
+  if (writer_.remaining() == 0) return;
+  const std::optional<safety::Rule> rule = safety::MayDeliver(DeliveryFacts(), Clock::now());
+  if (rule) {
+    context_.listener.OnRulePrevented(*rule);
+    return Close(AttemptResult::kConnectFailed);
+  }
+  OnProgress(writer_.Continue());
+}
+
+void UpstreamConnection::OnProgress(MessageWriter::Progress progress) {
+  if (progress == MessageWriter::Progress::kBroken) return OnDisconnected();
+  if (progress == MessageWriter::Progress::kWritten) OnWritten();
+  if (state_ == State::kAwaitingReply) ArmDeliveryTimer();
 }
 
 void UpstreamConnection::OnWritten() {
-  if (is_idle() || IsUnsent() || Unwritten(connection_.get()) > 0) return;
   if (std::exchange(attempt_.is_fully_written, true)) return;
   context_.listener.OnAttemptWritten();
-  const auto late = duration_cast<milliseconds>(Clock::now() - attempt_.begin_by);
+  const auto late = duration_cast<milliseconds>(Clock::now() - attempt_.arrive_by);
   if (late.count() <= 0) return;
   context_.late_log("attempt written after its retry window",
                     upstream_.name + ", " + std::to_string(late.count()) + " ms late");
   context_.listener.OnRuleViolated(safety::Rule::kRetryWindow);
 }
 
+safety::DeliveryFacts UpstreamConnection::DeliveryFacts() const {
+  safety::DeliveryFacts facts =
+      attempt_.DeliveryFactsOn(connection_.get(), writer_.remaining(), context_.listener);
+  facts.max_transit_time = delay_bound_;
+  return facts;
+}
+
+void UpstreamConnection::ArmDeliveryTimer() {
+  const auto now = Clock::now();
+  // A message that was written at once needs no check before its limits.
+  const bool is_limited = writer_.remaining() > 0 || attempt_.arrive_by < attempt_.deadline;
+  const auto check_at = is_limited ? safety::NextDeliveryCheck(DeliveryFacts(), now) : attempt_.deadline;
+  timer_.Arm(duration_cast<microseconds>(check_at - now));
+}
+
+void UpstreamConnection::LimitArrival(Clock::time_point arrive_by) {
+  attempt_.arrive_by = std::min(attempt_.arrive_by, arrive_by);
+  if (state_ == State::kAwaitingReply) ArmDeliveryTimer();
+}
+
+// Ends the attempt if its time is over or a rule forbids delivering the rest of it.
+void UpstreamConnection::CheckDelivery() {
+  const auto now = Clock::now();
+  const std::optional<safety::Rule> rule = safety::MayDeliver(DeliveryFacts(), now);
+  if (!rule && now < attempt_.deadline) return ArmDeliveryTimer();
+  if (rule && *rule != safety::Rule::kDeadline) context_.listener.OnRulePrevented(*rule);
+  Close(writer_.remaining() > 0 ? AttemptResult::kConnectFailed : AttemptResult::kTimedOut);
+}
+
 // ---- Events of the connection
 
 void UpstreamConnection::OnEvent(short what) {
@@ -218,7 +273,7 @@
     return;
   }
   // The upstream can't have executed a request before its last byte was sent; after that it may have.
-  const bool never_ran = IsUnsent() || Unwritten(connection_.get()) > 0;
+  const bool never_ran = IsUnsent() || writer_.remaining() > 0;
   // The same fault has probably broken the idle connections to this upstream. An attempt on one of them would
   // fail and would then count as possibly executed.
   owner_.CloseIdleConnections(upstream_);
@@ -234,10 +289,8 @@
       return Close(AttemptResult::kConnectFailed);
     case State::kAwaitingSend:
       return SendIfAllowed();
-    case State::kAwaitingReply: {
-      const bool never_ran = Unwritten(connection_.get()) > 0;
-      return Close(never_ran ? AttemptResult::kConnectFailed : AttemptResult::kTimedOut);
-    }
+    case State::kAwaitingReply:
+      return CheckDelivery();
     case State::kReadingReply:
     case State::kStreamingValue:
     case State::kDrainingReply:
@@ -245,8 +298,16 @@
   }
 }
 
+// Returns whether the bytes that have arrived belong to no attempt. An upstream can reject a request before
+// it has the last byte, but it can't return a value.
+bool UpstreamConnection::IsUnsolicited() const {
+  if (is_idle() || IsUnsent()) return true;
+  return state_ == State::kAwaitingReply && writer_.remaining() > 0 &&
+         PeekFirst(connection_.get()).starts_with('*');
+}
+
 void UpstreamConnection::OnReadable() {
-  if (is_idle() || IsUnsent()) {
+  if (IsUnsolicited()) {
     context_.late_duplicates.Record(Clock::now());
     return Close(is_idle() ? AttemptResult::kReset : AttemptResult::kConnectFailed);
   }
@@ -325,7 +386,10 @@
   idle_since_ = Clock::now();
   const bool has_duplicate = ReadSize(connection_.get()) > 0;
   if (has_duplicate) context_.late_duplicates.Record(Clock::now());
-  if (has_duplicate || !IsUpstreamReady() || !LeadsToCurrentProcess()) Close(AttemptResult::kReset);
+  const bool is_written = writer_.remaining() == 0;  // the upstream may reply to a part of the request
+  if (has_duplicate || !is_written || !IsUpstreamReady() || !LeadsToCurrentProcess()) {
+    Close(AttemptResult::kReset);
+  }
 }
 
 // ---- Streaming a large value
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -13,6 +13,7 @@
 #include "net/loop.h"
 #include "net/upstream/attempt_listener.h"
 #include "net/upstream/late_duplicate_detector.h"
+#include "net/upstream/message_writer.h"
 #include "net/upstream/stall_timeout.h"
 #include "net/upstream/upstream_attempt.h"
 #include "net/upstream/upstream_reply.h"
@@ -59,6 +60,8 @@
                      PooledUpstream& upstream);
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
+  // Resets the connection if its socket still holds bytes for the upstream.
+  ~UpstreamConnection();
 
   // Called once, before any other function. Returns false if the connection can't be opened.
   bool Connect();
@@ -71,6 +74,11 @@
   // Closes the connection if no byte of its attempt has been sent, so that the attempt can be retried at
   // another upstream.
   void CloseIfUnsent();
+  // Closes the connection if bytes of its attempt have not left this machine, so that the upstream never
+  // executes the attempt.
+  void CloseIfPartlySent();
+  // The last byte of the attempt must arrive before `arrive_by`, in addition to the earlier limit.
+  void LimitArrival(Clock::time_point arrive_by);
 
   // Continues the streamed value after its client has capacity again.
   void Resume();
@@ -89,7 +97,7 @@
   enum class State {
     kConnecting,      // an attempt waits for the connection to be established
     kAwaitingSend,    // the connection is established; no byte of the attempt has been sent
-    kAwaitingReply,   // the attempt's first byte has been sent, nothing has arrived
+    kAwaitingReply,   // the attempt's first byte has been sent, no reply has begun
     kReadingReply,    // a reply has begun and is incomplete
     kStreamingValue,  // the attempt is reported; its value is being forwarded
     kDrainingReply,   // the attempt is reported; the rest of its reply is being read
@@ -112,11 +120,17 @@
   void OnDisconnected();
   void OnEvent(short what);
   void OnReadable();
-  void OnWritten();
   void OnTimeout();
 
   void SendIfAllowed();
-  bool StartWriting();
+  MessageWriter::Progress BeginWriting();
+  void ContinueWriting();
+  void OnProgress(MessageWriter::Progress progress);
+  void OnWritten();
+  [[nodiscard]] safety::DeliveryFacts DeliveryFacts() const;
+  void ArmDeliveryTimer();
+  void CheckDelivery();
+  [[nodiscard]] bool IsUnsolicited() const;
 
   [[nodiscard]] std::string_view PeekNeeded() const;
   void ReadReply();
@@ -130,13 +144,14 @@
   void ArmStallTimer();
   void CloseMalformed();
   void Report(const UpstreamReply& outcome);
-  void LogIfUndelivered(planner::AttemptResult result);
+  void LogIfUndelivered(planner::AttemptResult result) const;
 
   UpstreamConnectionContext& context_;
   UpstreamConnectionOwner& owner_;
   PooledUpstream& upstream_;
   const int incarnation_;  // the upstream's incarnation when this connection was opened
   BufferEvent connection_;
+  MessageWriter writer_;
   Timer timer_;
   State state_ = State::kConnecting;
   UpstreamAttempt attempt_;
--- a/src/net/upstream/upstream_pool.cpp
+++ b/src/net/upstream/upstream_pool.cpp
@@ -90,8 +90,8 @@
 
 void UpstreamPool::StartAttempt(const AttemptKey& key, const std::string& upstream,
                                 const resp::EncodedRequest& message, microseconds timeout,
-                                microseconds start_timeout) {
-  Start(upstream, UpstreamAttempt::ForRequest(key, message, timeout, start_timeout));
+                                microseconds arrival_timeout) {
+  Start(upstream, UpstreamAttempt::ForRequest(key, message, timeout, arrival_timeout));
 }
 
 void UpstreamPool::StartHealthCheck(const std::string& upstream) {
@@ -121,6 +121,16 @@
   if (found != attempts_.end()) found->second->Close(AttemptResult::kCancelled);
 }
 
+void UpstreamPool::CancelIfPartlySent(const AttemptKey& key) {
+  const auto found = attempts_.find(key);
+  if (found != attempts_.end()) found->second->CloseIfPartlySent();
+}
+
+void UpstreamPool::LimitArrival(const AttemptKey& key, Clock::time_point arrive_by) {
+  const auto found = attempts_.find(key);
+  if (found != attempts_.end()) found->second->LimitArrival(arrive_by);
+}
+
 void UpstreamPool::Resume(const AttemptKey& key) {
   const auto found = attempts_.find(key);
   if (found != attempts_.end()) found->second->Resume();
--- a/src/net/upstream/upstream_pool.h
+++ b/src/net/upstream/upstream_pool.h
@@ -40,16 +40,21 @@
   // Writes `message` to a connection to the upstream. The attempt ends within `timeout`, or with the last
   // byte of a large value that has begun to arrive in that time. If the connection has to be opened first,
   // the rules are checked again before the first byte is sent: if no client waits for the request, the
-  // upstream is not ready any more, or the first byte would arrive later than `start_timeout` from now,
-  // the attempt ends as kConnectFailed. The delay of the first byte is estimated as the time that the
-  // connection took to be established (at least a round trip), and at most the dial timeout. The message
-  // tells the upstream the rest of `timeout` at the time of writing.
+  // upstream is not ready any more, or a byte would arrive later than `arrival_timeout` from now, the attempt
+  // ends as kConnectFailed. They are checked for each further piece, too, until the upstream's machine has
+  // the last byte; if a rule forbids the rest, the connection is reset. The delay of a byte is estimated as
+  // the time that the connection took to be established (at least a round trip), and at most the dial
+  // timeout. The message tells the upstream the rest of `timeout` at the time of writing.
   void StartAttempt(const AttemptKey& key, const std::string& upstream, const resp::EncodedRequest& message,
-                    std::chrono::microseconds timeout, std::chrono::microseconds start_timeout);
+                    std::chrono::microseconds timeout, std::chrono::microseconds arrival_timeout);
   // Continues the attempt's streamed value after its client has capacity again.
   void Resume(const AttemptKey& key);
   // Ends an attempt by closing its connection.
   void CancelAttempt(const AttemptKey& key);
+  // Ends an attempt of which bytes have not left this machine, and does nothing to any other.
+  void CancelIfPartlySent(const AttemptKey& key);
+  // The last byte of an attempt that has begun must arrive before `arrive_by`.
+  void LimitArrival(const AttemptKey& key, Clock::time_point arrive_by);
   // Requests the load report of an upstream.
   void StartHealthCheck(const std::string& upstream);
 
--- a/src/planner/controller_adapter.cpp
+++ b/src/planner/controller_adapter.cpp
@@ -64,7 +64,7 @@
   const auto next = next_attempts_.find(action.id);
   const AttemptNumber attempt = next == next_attempts_.end() ? 0 : next->second++;
   actions_.emplace_back(
-      StartAttempt{action.id, attempt, std::move(action.upstream), action.timeout, action.start_timeout});
+      StartAttempt{action.id, attempt, std::move(action.upstream), action.timeout, action.arrival_timeout});
 }
 
 void ControllerAdapter::Translate(postspread::Reject&& action, TimePoint) {
--- a/src/planner/types.h
+++ b/src/planner/types.h
@@ -26,8 +26,8 @@
   AttemptNumber attempt = 0;
   std::string upstream;
   std::chrono::microseconds timeout{0};
-  // The first byte of the request must reach the upstream within this time.
-  std::chrono::microseconds start_timeout{0};
+  // The last byte of the request must reach the upstream within this time.
+  std::chrono::microseconds arrival_timeout{0};
 };
 
 // Final response: the request was not executed, so the client may retry it safely.
--- a/src/safety/rules.h
+++ b/src/safety/rules.h
@@ -12,9 +12,9 @@
 namespace postspread::safety {
 
 enum class Rule {
-  kClientWaits,    // an attempt starts only while a client waits for its response
+  kClientWaits,    // an attempt starts, and is sent on, only while a client waits for its response
   kUpstreamReady,  // an attempt starts only at a ready upstream, over a connection to its current process
-  kRetryWindow,    // an attempt starts only if its first byte arrives while its idempotency key is valid
+  kRetryWindow,    // the last byte of an attempt arrives only while its idempotency key is valid
   kDeadline,       // an attempt starts only before its request's deadline, and its timeout is the time left
   kRunsOnce,       // a non-idempotent request is retried only if no attempt is in flight or may have run
   kResponseBeforeClose,  // a connection is closed only when every request read from it has its response
--- /dev/null
+++ b/tests/net/upstream/attempt_delivery_test.cpp
@@ -0,0 +1,158 @@
+// Guards against attempts whose last byte reaches an upstream when a rule no longer allows it. An upstream
+// executes a request when its last byte arrives, so what waits in the gateway or in its socket counts. The
+// upstreams of these tests read nothing until they are told to, and judge by what they can read then.
+#include <sys/socket.h>
+
+#include "partners/site.h"
+
+namespace postspread {
+namespace {
+
+using namespace site;
+
+constexpr std::size_t kMaxCommand = std::size_t{8} * 1024 * 1024;
+const std::string kLongBody(4'000'000, 'b');  // more than the sockets on the way hold
+
+// A site with two upstreams and a class with idempotency keys, valid for `window_us` at all upstreams.
+struct KeyedSite {
+  explicit KeyedSite(std::int64_t window_us, const json& changes = json::object())
+      : site(2, Merged(window_us, changes)) {
+    site.Start(2);
+  }
+  static json Merged(std::int64_t window_us, const json& changes) {
+    json out = NoQuota();
+    out["ops"] = "";
+    out["settings"]["Classes"] = {{{"Name", "change"},
+                                   {"Aim", 2'000'000},
+                                   {"HardLimit", 60'000'000},
+                                   {"Effect", "keyed"},
+                                   {"DedupScope", "all"},
+                                   {"KeyTtl", window_us}}};
+    out.merge_patch(changes);
+    return out;
+  }
+  static std::string Write(std::string_view body) {
+    return Command({"API.WRITE", "0000000000000001", "one",
+                    "c=change,t=team,d=60000,k=00000000000000aa,units=1,spread=2,first=0", body});
+  }
+  // Waits until `count` attempts have been written to the last byte, as far as the gateway's socket goes.
+  void AwaitWritten(double count) const {
+    for (int waited = 0; waited < kTimeoutMs; waited += 10) {
+      if (site.Metric("svc_upstream_requests") >= count) return;
+      usleep(10'000);
+    }
+    FAIL("the attempt is not written");
+  }
+  Site site;
+};
+
+// Reads the rest of a connection until it ends. Returns whether a whole command arrived over it.
+bool ReceivesWholeCommand(Peer& upstream) {
+  resp::Command command;
+  return resp::ParseCommand(upstream.Bytes(kMaxCommand), command) == resp::Progress::kComplete;
+}
+
+TEST_CASE(
+    "given a hedged request with bytes unsent, when its retry window ends, then its rest never arrives") {
+  KeyedSite fixture(1'500'000, {{"settings", {{"Limits", {{"SecondCopies", true}}}}}});
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kLongBody));
+  const int selected = fixture.site.AwaitDialedUpstream();
+  Peer first = fixture.site.upstream(selected).Accept();
+  CHECK(first.Command().at(2) == "one");  // executed, and not answered
+  Peer second = fixture.site.upstream(1 - selected).Accept();
+  CHECK(second.HasMore(kTimeoutMs));  // the hedged request has begun to arrive
+  CHECK(second.HangsUp());            // when the window ends
+  CHECK_FALSE(ReceivesWholeCommand(second));
+  first.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK(fixture.site.Metric("svc_rule_preventions{rule=\"repeat_window\"}") >= 1);
+  CHECK(fixture.site.Metric("svc_rule_violations{rule=\"repeat_window\"}") == 0);
+}
+
+TEST_CASE(
+    "given a first attempt with bytes unsent, when the retry window of a hedged request that was executed "
+    "ends, "
+    "then the rest of the first never arrives") {
+  KeyedSite fixture(1'000'000, {{"settings", {{"Limits", {{"SecondCopies", true}}}}}});
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kLongBody));
+  const int selected = fixture.site.AwaitDialedUpstream();
+  Peer first = fixture.site.upstream(selected).Accept();
+  CHECK(first.HasMore(kTimeoutMs));
+  Peer second = fixture.site.upstream(1 - selected).Accept();
+  CHECK(second.Command().at(2) == "one");  // executed, and not answered
+  CHECK(first.HangsUp());                  // when the window ends
+  CHECK_FALSE(ReceivesWholeCommand(first));
+  second.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+TEST_CASE(
+    "given an attempt that waits in the gateway's socket, when its client disconnects, then the rest never "
+    "arrives") {
+  KeyedSite fixture(30'000'000);
+  // The upstream's machine holds less of a request than the gateway's socket takes.
+  const int receive_bytes = 4'096;
+  for (int i = 0; i < 2; ++i) {
+    REQUIRE(setsockopt(fixture.site.upstream(i).fd(), SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                       sizeof receive_bytes) == 0);
+  }
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(std::string(60'000, 'b')));
+  Peer upstream = fixture.site.upstream(fixture.site.AwaitDialedUpstream()).Accept();
+  fixture.AwaitWritten(1);
+  client.Close();
+  fixture.site.WaitForLog("attempt ended undelivered");
+  CHECK_FALSE(ReceivesWholeCommand(upstream));
+}
+
+TEST_CASE(
+    "given attempts that can't be cancelled, when a client disconnects while its request is partly sent, "
+    "then "
+    "the rest never arrives") {
+  KeyedSite fixture(30'000'000, {{"settings", {{"Limits", {{"Cancelling", false}}}}}});
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kLongBody));
+  Peer upstream = fixture.site.upstream(fixture.site.AwaitDialedUpstream()).Accept();
+  CHECK(upstream.HasMore(kTimeoutMs));
+  client.Close();
+  CHECK(upstream.HangsUp());
+  CHECK_FALSE(ReceivesWholeCommand(upstream));
+}
+
+TEST_CASE(
+    "given a request that is partly sent, when the upstream rejects it by its head, then the connection is "
+    "not "
+    "reused") {
+  KeyedSite fixture(30'000'000);
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kLongBody));
+  const int selected = fixture.site.AwaitDialedUpstream();
+  Peer upstream = fixture.site.upstream(selected).Accept();
+  CHECK(upstream.HasMore(kTimeoutMs));
+  upstream.Send("-BUSY\r\n");
+  Peer second = fixture.site.upstream(1 - selected).Accept();
+  CHECK(second.Command().at(2) == "one");
+  second.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK_FALSE(ReceivesWholeCommand(upstream));
+}
+
+TEST_CASE(
+    "given a request that is partly sent, when a value arrives, then it is not taken for its response") {
+  KeyedSite fixture(30'000'000);
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kLongBody));
+  const int selected = fixture.site.AwaitDialedUpstream();
+  Peer upstream = fixture.site.upstream(selected).Accept();
+  CHECK(upstream.HasMore(kTimeoutMs));
+  upstream.Send("*3\r\n$2\r\nno\r\n$-1\r\n$-1\r\n");  // a late duplicate: the upstream has not begun
+  Peer second = fixture.site.upstream(1 - selected).Accept();
+  CHECK(second.Command().at(2) == "one");
+  second.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+}  // namespace
+}  // namespace postspread
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -113,6 +113,11 @@
   void HalfClose() { shutdown(socket_.fd(), SHUT_WR); }
   // Waits for the other end to close. Returns false if bytes arrive first or are unread.
   bool Ended() { return !Fill() && buffer_.empty(); }
+  // Waits for the other end to close or reset the connection, whether bytes are unread or not.
+  [[nodiscard]] bool HangsUp(int wait_ms = kTimeoutMs) const {
+    pollfd p{socket_.fd(), POLLRDHUP, 0};
+    return poll(&p, 1, wait_ms) == 1;
+  }
   // Returns whether bytes or a close can be read now, or within `wait_ms`.
   bool HasMore(int wait_ms = 0) { return !buffer_.empty() || Readable(socket_.fd(), wait_ms); }
   void Close() { socket_.Close(); }
--- a/tests/safety/rules_test.cpp
+++ b/tests/safety/rules_test.cpp
@@ -17,7 +17,7 @@
           .upstream_ready = true,
           .connection_current = true,
           .max_transit_time = milliseconds(10),
-          .begin_by = kNow + milliseconds(100),
+          .arrive_by = kNow + milliseconds(100),
           .deadline = kNow + milliseconds(200)};
 }
 
@@ -40,6 +40,32 @@
   CHECK(MayBegin(AllowedAttempt(), kNow + milliseconds(200)) == Rule::kDeadline);
 }
 
+// Guards against a check before the first byte only: the rest of a message is checked until it is delivered.
+TEST_CASE(
+    "given an attempt that is partly sent, the rest is delivered only in its window and for its client") {
+  const DeliveryFacts partly_sent{.client_waits = true,
+                                  .unsent = 1,
+                                  .unacknowledged = 2,
+                                  .max_transit_time = milliseconds(10),
+                                  .arrive_by = kNow + milliseconds(100),
+                                  .deadline = kNow + milliseconds(200)};
+  CHECK_FALSE(MayDeliver(partly_sent, kNow + milliseconds(89)));
+  CHECK(MayDeliver(partly_sent, kNow + milliseconds(90)) == Rule::kRetryWindow);
+  CHECK(NextDeliveryCheck(partly_sent, kNow) == kNow + milliseconds(90));
+  CHECK(NextDeliveryCheck(partly_sent, kNow + milliseconds(95)) == kNow + milliseconds(95));
+  CHECK(MayDeliver(partly_sent, kNow + milliseconds(200)) == Rule::kDeadline);
+  DeliveryFacts facts = partly_sent;
+  facts.client_waits = false;
+  CHECK(MayDeliver(facts, kNow) == Rule::kClientWaits);
+  facts.unsent = 0;  // the rest is on its way, and may arrive until the end of the window
+  CHECK_FALSE(MayDeliver(facts, kNow + milliseconds(99)));
+  CHECK(NextDeliveryCheck(facts, kNow + milliseconds(95)) == kNow + milliseconds(100));
+  CHECK(MayDeliver(facts, kNow + milliseconds(100)) == Rule::kRetryWindow);
+  facts.unacknowledged = 0;
+  CHECK_FALSE(MayDeliver(facts, kNow + milliseconds(300)));
+  CHECK(NextDeliveryCheck(facts, kNow) == facts.deadline);
+}
+
 TEST_CASE("a non-idempotent request is retried only if no attempt is in flight or may have run") {
   const std::vector<EarlierAttempt> never_ran{{}, {}};
   const std::vector<EarlierAttempt> in_flight{{}, {.in_flight = true}};
