--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -94,6 +94,9 @@
   [[nodiscard]] PooledUpstream& upstream() const { return upstream_; }
 
  private:
+  // Bounds the bytes that are read before they are parsed or forwarded.
+  static constexpr std::size_t kReadAheadBytes = std::size_t{72} * 1024;
+
   enum class State {
     kConnecting,      // an attempt waits for the connection to be established
     kAwaitingSend,    // the connection is established; no byte of the attempt has been sent
--- /dev/null
+++ b/src/net/upstream/upstream_connection_reply.cpp
@@ -0,0 +1,165 @@
+// Reads the replies of an upstream connection, and forwards large values.
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "net/upstream/pooled_upstream.h"
+#include "net/upstream/upstream_connection.h"
+
+namespace postspread::net {
+namespace {
+
+using planner::AttemptResult;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// Bounds the time without a new byte within a large value, as clients do not wait for longer.
+constexpr milliseconds kValueStallTimeout{3'000};
+// The kernel's receive buffer of a connection that streams a large value.
+constexpr int kStreamKernelBytes = 64 * 1024;
+
+}  // namespace
+
+// ---- Reading a reply
+
+std::string_view UpstreamConnection::PeekNeeded() const {
+  return bytes_needed_ > 1 ? Peek(connection_.get(), bytes_needed_) : PeekFirst(connection_.get());
+}
+
+void UpstreamConnection::ReadReply() {
+  resp::Reply reply;
+  for (;;) {
+    const std::size_t available = ReadSize(connection_.get());
+    if (available < std::max<std::size_t>(1, bytes_needed_)) return ArmStallTimer();
+    const std::string_view bytes = PeekNeeded();
+    const resp::Progress progress = resp::ParseReply(bytes, reply);
+    if (progress == resp::Progress::kMalformed) return CloseMalformed();
+    if (progress == resp::Progress::kComplete) return OnReply(reply);
+    const bool is_first = bytes_needed_ == 0;
+    bytes_needed_ = reply.bytes_needed;
+    if (!OnPartialReply(bytes)) return;
+    if (is_first) ArmStallTimer();
+  }
+}
+
+// Returns whether to continue buffering the reply. Otherwise its value is streamed or the connection is
+// closed.
+bool UpstreamConnection::OnPartialReply(std::string_view bytes) {
+  if (state_ == State::kAwaitingReply) Transition(State::kReadingReply);
+  resp::LargeValue large;
+  if (!attempt_.is_health_check() && resp::BeginsWithLargeValue(bytes, large) && BeginStream(large))
+    return false;
+  if (bytes_needed_ > kReadAheadBytes) {
+    bufferevent_setwatermark(connection_.get(), EV_READ, 0, bytes_needed_);
+  }
+  return true;
+}
+
+// A reply that stalls is unlikely to continue, and the attempt's own timeout would leave no time for a retry.
+void UpstreamConnection::ArmStallTimer() {
+  if (state_ != State::kReadingReply) return;
+  const auto time_left = duration_cast<microseconds>(attempt_.deadline - Clock::now());
+  const bool is_large = bytes_needed_ > kReadAheadBytes;
+  const microseconds stall = is_large ? microseconds(kValueStallTimeout) : context_.stall_timeout.value();
+  timer_.Arm(std::min(time_left, stall));
+}
+
+void UpstreamConnection::OnReply(const resp::Reply& reply) {
+  const std::optional<UpstreamReply> outcome = DecodeReply(reply, attempt_.kind);
+  if (!outcome) return CloseMalformed();
+  timer_.Disarm();
+  // The value is a slice of the read buffer, so the buffer is consumed and the connection released only after
+  // the report.
+  Transition(State::kDrainingReply);
+  Report(*outcome);
+  Release(reply.size);
+}
+
+// Makes the connection available for another attempt once its reply has been read.
+void UpstreamConnection::Release(std::size_t reply_size) {
+  Consume(connection_.get(), reply_size);
+  if (bytes_needed_ > kReadAheadBytes) {
+    bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadAheadBytes);
+  }
+  Transition(State::kIdle);
+  idle_since_ = Clock::now();
+  const bool has_duplicate = ReadSize(connection_.get()) > 0;
+  if (has_duplicate) context_.late_duplicates.Record(Clock::now());
+  const bool is_written = writer_.remaining() == 0;  // the upstream may reply to a part of the request
+  if (has_duplicate || !is_written || !IsUpstreamReady() || !LeadsToCurrentProcess()) {
+    Close(AttemptResult::kReset);
+  }
+}
+
+// ---- Streaming a large value
+
+// Returns whether the value is streamed or the connection is closed. Otherwise the value is buffered.
+bool UpstreamConnection::BeginStream(const resp::LargeValue& large) {
+  const auto handling = context_.listener.OnLargeValue({.request = attempt_.key.request,
+                                                        .attempt = attempt_.key.attempt,
+                                                        .upstream = upstream_.name,
+                                                        .result = AttemptResult::kSucceeded,
+                                                        .elapsed = attempt_.Elapsed()});
+  if (handling == AttemptListener::Value::kBuffer) return false;
+  if (handling == AttemptListener::Value::kDiscard) {
+    Close(AttemptResult::kCancelled);
+    return true;
+  }
+  SetKernelBufferSize(connection_.get(), SO_RCVBUF, kStreamKernelBytes);
+  Consume(connection_.get(), large.at);
+  stream_.Begin(large);
+  Transition(State::kStreamingValue);
+  ForwardValue();
+  return true;
+}
+
+void UpstreamConnection::ForwardValue() {
+  switch (stream_.Forward(connection_.get(), attempt_.key.request, context_.listener)) {
+    case ValueStream::Progress::kNeedsInput:
+      return timer_.Arm(kValueStallTimeout);
+    case ValueStream::Progress::kClientFull:
+      // Reads nothing from the upstream and runs no timeout until the client has capacity again.
+      is_stream_paused_ = true;
+      bufferevent_disable(connection_.get(), EV_READ);
+      return timer_.Disarm();
+    case ValueStream::Progress::kMalformed:
+      return CloseMalformed();
+    case ValueStream::Progress::kComplete:
+      return OnValueForwarded();
+  }
+}
+
+void UpstreamConnection::Resume() {
+  if (state_ != State::kStreamingValue || !std::exchange(is_stream_paused_, false)) return;
+  bufferevent_enable(connection_.get(), EV_READ);
+  ForwardValue();
+}
+
+void UpstreamConnection::OnValueForwarded() {
+  Transition(State::kDrainingReply);
+  owner_.RemoveAttempt(attempt_.key);
+  context_.listener.OnStreamFinished(attempt_.key.request, StreamEnd::kComplete);
+  bytes_needed_ = 0;
+  if (is_upstream_closed_) return Close(AttemptResult::kReset);
+  timer_.Arm(StallTimeout::kMin);
+  DrainReply();
+}
+
+// Reads the parts after the streamed value, so that the connection can be reused.
+void UpstreamConnection::DrainReply() {
+  resp::Reply reply;
+  for (;;) {
+    if (ReadSize(connection_.get()) < bytes_needed_) return;
+    const resp::Progress progress = resp::ParseTrailingParts(PeekNeeded(), stream_.trailing_parts(), reply);
+    if (progress == resp::Progress::kMalformed) return CloseMalformed();
+    if (progress == resp::Progress::kComplete) break;
+    bytes_needed_ = reply.bytes_needed;
+  }
+  timer_.Disarm();
+  Release(reply.size);
+}
+
+}  // namespace postspread::net
