--- a/src/net/gateway/request_dispatcher.h
+++ b/src/net/gateway/request_dispatcher.h
@@ -62,7 +62,6 @@
   void OnHealthCheckFinished(const planner::HealthCheckReport& report) override { driver_.Report(report); }
   bool IsStillNeeded(RequestId request) override;
   void OnRulePrevented(safety::Rule rule) override { metrics_.rules.Prevented(rule); }
-  void OnRuleViolated(safety::Rule rule) override { metrics_.rules.Violated(rule); }
   Value OnLargeValue(const planner::AttemptReport& report) override;
   std::size_t StreamCapacity(RequestId request) override { return streams_.Capacity(request); }
   void StreamValue(RequestId request, evbuffer* from, std::size_t size) override {
--- a/src/net/upstream/attempt_listener.h
+++ b/src/net/upstream/attempt_listener.h
@@ -41,8 +41,6 @@
   virtual bool IsStillNeeded(RequestId request) = 0;
   // Called when an attempt or health check was not sent because sending it would have broken `rule`.
   virtual void OnRulePrevented(safety::Rule rule) = 0;
-  // Called when an attempt has violated `rule`.
-  virtual void OnRuleViolated(safety::Rule rule) = 0;
   // How the connection handles a large value.
   enum class Value {
     kBuffer,   // buffers it and reports it with OnAttemptFinished
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -205,9 +205,9 @@
   context_.listener.OnAttemptWritten();
   const auto late = duration_cast<milliseconds>(Clock::now() - attempt_.arrive_by);
   if (late.count() <= 0) return;
+  // The system has suspended the process between the last check and the write.
   context_.late_log("attempt written after its retry window",
                     upstream_.name + ", " + std::to_string(late.count()) + " ms late");
-  context_.listener.OnRuleViolated(safety::Rule::kRetryWindow);
 }
 
 safety::DeliveryFacts UpstreamConnection::DeliveryFacts() const {
