--- a/tests/flow/byte_budget_test.cpp
+++ b/tests/flow/byte_budget_test.cpp
@@ -91,6 +91,7 @@
     std::vector<Message> messages(40);
     for (Message& message : messages) message.size = 1 + random() % 1000;
     std::vector<Message*> open;
+    open.reserve(messages.size());
     for (Message& message : messages) open.push_back(&message);
     bool total_kept = true;
     int steps = 0;
