Fleet rig: the pair cut lasts until one of the two has probed the other

Which member probes which in a period depends on the clock, and in each period two of five probe one another with even chance; the cut lasted 2.5 s, so a run of eight periods without such a probe (0.4 in 100) left no time for a death. Change: the cut lasts for 40 periods or until the death, so a gateway with all defenses is held for 8 s instead of 2.5 s, which is stricter, and one without is missed once in 10^9.

--- a/tests/fleet/defense_check.cpp
+++ b/tests/fleet/defense_check.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr double kAgreePeriods = 25;
+// Within this many periods one of two members of five probes the other: each period has an even chance of it.
+constexpr double kPairCutPeriods = 40;
 
 // Each Fails...() function injects one fault into a rig of five gateways whose views agree, and returns
 // whether it detected a failure.
@@ -27,11 +29,12 @@
   return rig.Until([&rig] { return rig.AllAgree(); }, kAgreePeriods) < 0;
 }
 
-// Two gateways reach each other only through the others.
+// Two gateways reach each other only through the others. Which member probes which one in a period depends on
+// the clock, so the cut lasts until one has probed the other and the suspicion timeout has passed.
 bool FailsWithAPairCut(Rig& rig) {
   rig.CutPair(0, 1, true);
-  rig.Run(milliseconds(2'500));
-  if (DeathsDeclared(rig) > 0) return true;
+  const auto is_declared = [&rig] { return rig.Logged(0, "is dead") || rig.Logged(1, "is dead"); };
+  if (rig.Until(is_declared, kPairCutPeriods) >= 0 || DeathsDeclared(rig) > 0) return true;
   rig.HealAll();
   return false;
 }
