A connection is reused only if the kernel has sent all of its request

What callers saw: nothing was reported. Cause: reuse asked for the bytes in the gateway, not for those in its socket.

--- a/src/net/upstream/upstream_connection_reply.cpp
+++ b/src/net/upstream/upstream_connection_reply.cpp
@@ -88,7 +88,8 @@
   idle_since_ = Clock::now();
   const bool has_duplicate = ReadSize(connection_.get()) > 0;
   if (has_duplicate) context_.late_duplicates.Record(Clock::now());
-  const bool is_written = writer_.remaining() == 0;  // the upstream may reply to a part of the request
+  // The upstream may reply to a part of the request. The next one would wait behind the rest of it.
+  const bool is_written = writer_.remaining() == 0 && UnsentBySystem(connection_.get()) == 0;
   if (has_duplicate || !is_written || !IsUpstreamReady() || !LeadsToCurrentProcess()) {
     Close(AttemptResult::kReset);
   }
--- a/tests/net/upstream/attempt_delivery_test.cpp
+++ b/tests/net/upstream/attempt_delivery_test.cpp
@@ -168,6 +168,23 @@
   CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
 }
 
+TEST_CASE(
+    "given a request that waits in the gateway's socket, when the upstream rejects it, then the connection "
+    "is not reused") {
+  KeyedSite fixture(30'000'000, kNoStuckRetries);
+  fixture.ReduceReceiveBuffers();
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kSocketBody));
+  const int selected = fixture.site.AwaitDialedUpstream();
+  Peer upstream = fixture.site.upstream(selected).Accept();
+  fixture.AwaitWritten(1);
+  upstream.Send("-BUSY\r\n");
+  Peer second = fixture.site.upstream(1 - selected).Accept();
+  CHECK(second.HasMore(kTimeoutMs));
+  CHECK(upstream.HangsUp());
+  CHECK_FALSE(ReceivesWholeCommand(upstream));
+}
+
 TEST_CASE(
     "given a request that is partly sent, when a value arrives, then it is not taken for its response") {
   KeyedSite fixture(30'000'000);
