A long message states time for its transfer, and its rest leaves only while that is left

An upstream that stops reading in a long request is told, with the last byte, the time of the first: more than the client has, by seconds. Cause: the stated time was computed at the first byte, and no rule was asked about it afterwards. Change: safety::TimeoutToState leaves 4 us for each byte beyond a receive window, half of the time at most, and safety::MayDeliver forbids the rest when what is stated exceeds what is left by 0.1 s. The timer of an attempt asks the system what has left only then.

--- a/src/net/upstream/upstream_attempt.cpp
+++ b/src/net/upstream/upstream_attempt.cpp
@@ -50,21 +50,32 @@
 
 safety::DeliveryFacts UpstreamAttempt::DeliveryFactsOn(bufferevent* connection, std::size_t unwritten,
                                                        AttemptListener& listener) const {
-  return {.client_waits = is_health_check() || listener.IsStillNeeded(key.request),
-          .unsent = unwritten + UnsentBySystem(connection),
-          .unacknowledged = unwritten + Unacknowledged(connection),
+  safety::DeliveryFacts facts = UnsentFacts();
+  facts.client_waits = is_health_check() || listener.IsStillNeeded(key.request);
+  facts.unsent = unwritten + UnsentBySystem(connection);
+  facts.unacknowledged = unwritten + Unacknowledged(connection);
+  return facts;
+}
+
+safety::DeliveryFacts UpstreamAttempt::UnsentFacts() const {
+  return {.client_waits = true,
+          .unsent = 1,
+          .unacknowledged = 1,
+          .stated_timeout = stated_timeout,
           .arrive_by = arrive_by,
           .deadline = deadline};
 }
 
 MessageWriter::Progress UpstreamAttempt::BeginWriting(MessageWriter& writer, evutil_socket_t fd,
-                                                      std::string& buffer) const {
+                                                      std::string& buffer) {
   const std::string_view tail = message.tail();
   const bool is_copied = tail.size() <= kMaxCopiedTail;
   buffer.clear();
   // Reads the clock as late as possible, since the system may suspend the process at any point.
-  const auto time_left = std::chrono::floor<milliseconds>(deadline - Clock::now());
-  message.RenderHead(std::max(milliseconds(1), time_left), buffer);
+  const auto time_left = std::chrono::floor<std::chrono::microseconds>(deadline - Clock::now());
+  const auto timeout = std::chrono::floor<milliseconds>(safety::TimeoutToState(time_left, message.size()));
+  stated_timeout = std::max(milliseconds(1), timeout);
+  message.RenderHead(std::max(milliseconds(1), timeout), buffer);
   if (is_copied) buffer += tail;
   return writer.Begin(
       fd, {.head = buffer, .tail = is_copied ? std::string_view() : tail, .owner = message.text()});
--- a/src/net/upstream/upstream_attempt.h
+++ b/src/net/upstream/upstream_attempt.h
@@ -38,8 +38,11 @@
   [[nodiscard]] safety::DeliveryFacts DeliveryFactsOn(bufferevent* connection, std::size_t unwritten,
                                                       AttemptListener& listener) const;
 
+  // Returns those facts if nothing has left this machine. They need no call to the system.
+  [[nodiscard]] safety::DeliveryFacts UnsentFacts() const;
+
   // Begins to write the request with its remaining time. `buffer` is scratch space.
-  MessageWriter::Progress BeginWriting(MessageWriter& writer, evutil_socket_t fd, std::string& buffer) const;
+  MessageWriter::Progress BeginWriting(MessageWriter& writer, evutil_socket_t fd, std::string& buffer);
 
   Kind kind = Kind::kRequest;
   AttemptKey key;                // set for a request only
@@ -47,6 +50,7 @@
   Clock::time_point started_at;
   Clock::time_point arrive_by;  // the latest arrival of the last byte
   Clock::time_point deadline;
+  std::chrono::microseconds stated_timeout{0};  // the time left that the message's head states
   // Whether the last byte has been written to the socket, so that the attempt is counted once. Always true
   // for a health check, which is not counted.
   bool is_fully_written = false;
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -221,9 +221,11 @@
 
 void UpstreamConnection::ArmDeliveryTimer() {
   const auto now = Clock::now();
-  // A message that was written at once needs no check before its limits.
-  const bool is_limited = writer_.remaining() > 0 || attempt_.arrive_by < attempt_.deadline;
-  const auto check_at = is_limited ? safety::NextDeliveryCheck(DeliveryFacts(), now) : attempt_.deadline;
+  safety::DeliveryFacts facts = attempt_.UnsentFacts();
+  facts.max_transit_time = delay_bound_;
+  // Most replies come before the first check, so only then the system is asked what has left.
+  auto check_at = safety::NextDeliveryCheck(facts, now);
+  if (check_at <= now) check_at = safety::NextDeliveryCheck(DeliveryFacts(), now);
   timer_.Arm(duration_cast<microseconds>(check_at - now));
 }
 
@@ -237,7 +239,7 @@
   const auto now = Clock::now();
   const std::optional<safety::Rule> rule = safety::MayDeliver(DeliveryFacts(), now);
   if (!rule && now < attempt_.deadline) return ArmDeliveryTimer();
-  if (rule && *rule != safety::Rule::kDeadline) context_.listener.OnRulePrevented(*rule);
+  if (rule && now < attempt_.deadline) context_.listener.OnRulePrevented(*rule);
   Close(writer_.remaining() > 0 ? AttemptResult::kConnectFailed : AttemptResult::kTimedOut);
 }
 
--- a/src/safety/attempt_rules.h
+++ b/src/safety/attempt_rules.h
@@ -40,10 +40,15 @@
   std::size_t unsent = 0;          // bytes of the message that have not left this machine
   std::size_t unacknowledged = 0;  // bytes that the upstream's machine has not acknowledged, unsent ones too
   std::chrono::microseconds max_transit_time{0};
+  std::chrono::microseconds stated_timeout{0};  // the time left that the message's head states
   Clock::time_point arrive_by;
   Clock::time_point deadline;
 };
 
+// Returns the time left that the head of a message of `message_size` bytes states. It is less than
+// `time_left` for a long message, since the time goes on while the rest of it is sent.
+std::chrono::microseconds TimeoutToState(std::chrono::microseconds time_left, std::size_t message_size);
+
 // Returns the rule that forbids delivering the rest of the message, or nullopt. If a rule forbids it, the
 // connection must be reset, because the system would still send what its socket holds.
 std::optional<Rule> MayDeliver(const DeliveryFacts& facts, Clock::time_point now);
--- a/src/safety/rules.h
+++ b/src/safety/rules.h
@@ -15,7 +15,7 @@
   kClientWaits,    // an attempt starts, and is sent on, only while a client waits for its response
   kUpstreamReady,  // an attempt starts only at a ready upstream, over a connection to its current process
   kRetryWindow,    // the last byte of an attempt arrives only while its idempotency key is valid
-  kDeadline,       // an attempt starts only before its request's deadline, and its timeout is the time left
+  kDeadline,       // an attempt starts before its request's deadline, and states at most the time left
   kRunsOnce,       // a non-idempotent request is retried only if no attempt is in flight or may have run
   kResponseBeforeClose,  // a connection is closed only when every request read from it has its response
   kResponseDelivered,    // a connection is closed only when its client has acknowledged all responses
--- a/tests/net/upstream/attempt_delivery_test.cpp
+++ b/tests/net/upstream/attempt_delivery_test.cpp
@@ -146,6 +146,38 @@
   CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
 }
 
+// Returns the time left that a command states in its field d.
+int StatedTimeoutMs(const std::vector<std::string>& command) {
+  const std::size_t at = command.at(3).find("d=");
+  REQUIRE(at != std::string::npos);
+  return std::stoi(command.at(3).substr(at + 2));
+}
+
+// Guards against a timeout that is stated in the head and no longer left when the last byte arrives.
+TEST_CASE(
+    "given an upstream that stops reading, when the stated timeout gets stale, then the attempt is retried") {
+  KeyedSite fixture(30'000'000, kNoStuckRetries);
+  LongWrite write(fixture, /*timeout_ms=*/4'000);
+  Peer second = fixture.site.upstream(1 - write.selected).Accept();
+  const int stated_ms = StatedTimeoutMs(second.Command());
+  CHECK(stated_ms <= 1'000);  // half of what is left after half of the time
+  second.Send(kValue);
+  CHECK(write.client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
+}
+
+TEST_CASE(
+    "given an attempt that waits in the gateway's socket, when its stated timeout gets stale, then the rest "
+    "never arrives") {
+  KeyedSite fixture(30'000'000, kNoStuckRetries);
+  fixture.ReduceReceiveBuffers();
+  Peer client = fixture.site.Client();
+  client.Send(KeyedSite::Write(kSocketBody));
+  Peer upstream = fixture.site.upstream(fixture.site.AwaitDialedUpstream()).Accept();
+  CHECK(upstream.HangsUp());  // long before the request's deadline
+  CHECK_FALSE(ReceivesWholeCommand(upstream));
+}
+
 TEST_CASE(
     "given attempts that can't be cancelled, when the client of a partly sent one disconnects, then its rest "
     "never arrives") {
--- a/tests/safety/rules_test.cpp
+++ b/tests/safety/rules_test.cpp
@@ -66,6 +66,32 @@
   CHECK(NextDeliveryCheck(facts, kNow) == facts.deadline);
 }
 
+// Guards against a stated timeout that is no longer left when a long message arrives.
+TEST_CASE("given a message with a stated timeout, its rest leaves only while that time is about left") {
+  const DeliveryFacts partly_sent{.client_waits = true,
+                                  .unsent = 1,
+                                  .unacknowledged = 2,
+                                  .max_transit_time = milliseconds(10),
+                                  .stated_timeout = milliseconds(1'000),
+                                  .arrive_by = kNow + milliseconds(60'000),
+                                  .deadline = kNow + milliseconds(1'500)};
+  CHECK_FALSE(MayDeliver(partly_sent, kNow + milliseconds(599)));
+  CHECK(MayDeliver(partly_sent, kNow + milliseconds(600)) == Rule::kDeadline);
+  CHECK(NextDeliveryCheck(partly_sent, kNow) == kNow + milliseconds(600));
+  DeliveryFacts facts = partly_sent;
+  facts.unsent = 0;
+  CHECK_FALSE(MayDeliver(facts, kNow + milliseconds(600)));
+  CHECK(NextDeliveryCheck(facts, kNow + milliseconds(600)) == facts.deadline);
+}
+
+TEST_CASE("a message states less time than is left if sending it takes long, but at least half of it") {
+  constexpr std::size_t kWindow = std::size_t{64} * 1024;
+  CHECK(TimeoutToState(milliseconds(500), 0) == milliseconds(500));
+  CHECK(TimeoutToState(milliseconds(500), kWindow) == milliseconds(500));
+  CHECK(TimeoutToState(milliseconds(500), kWindow + 50'000) == milliseconds(300));
+  CHECK(TimeoutToState(milliseconds(500), 64 * kWindow) == milliseconds(250));
+}
+
 TEST_CASE("a non-idempotent request is retried only if no attempt is in flight or may have run") {
   const std::vector<EarlierAttempt> never_ran{{}, {}};
   const std::vector<EarlierAttempt> in_flight{{}, {.in_flight = true}};
