What a close does with unacknowledged bytes is an enum, and four comments use the field's terms

Cause: a bool parameter in a public header says nothing at the call, and comments of this change used withdrawn words. Change: SetOnClose(OnClose::kReset) in place of SetResetOnClose(true); the stand-in facts of an attempt say what they are. No behaviour changed; the delivery tests pass.

--- a/src/flow/command_timeouts.h
+++ b/src/flow/command_timeouts.h
@@ -29,7 +29,7 @@
   kNoMemory,  // the command has waited for memory for too long
 };
 // Bounds the time until a client that stops in a command has its response, whatever the memory: a client that
-// stops while its command waits for memory can't be told from one that can't send more.
+// stops while its command waits for memory can't be distinguished from one that can't send more.
 CommandStatus StatusAt(const PartialCommand& command, PartialCommand::TimePoint now);
 
 }  // namespace postspread::flow
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -196,9 +196,9 @@
 
 std::size_t UnreadBytes(bufferevent* connection) { return QueuedBytes(connection, SIOCINQ); }
 
-void SetResetOnClose(bufferevent* connection, bool resets) {
-  const linger reset{.l_onoff = resets ? 1 : 0, .l_linger = 0};
-  setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+void SetOnClose(bufferevent* connection, OnClose on_close) {
+  const linger option{.l_onoff = on_close == OnClose::kReset ? 1 : 0, .l_linger = 0};
+  setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
 std::chrono::milliseconds TimeSinceArrival(bufferevent* connection) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -117,9 +117,12 @@
 // Returns the number of bytes that the socket has accepted and not sent yet; 0 if the system does not report
 // it.
 std::size_t UnsentBySystem(bufferevent* connection);
-// Sets whether the close of the socket resets the connection. The system then discards the bytes that the
-// other end has not acknowledged instead of delivering them after the close.
-void SetResetOnClose(bufferevent* connection, bool resets);
+// What the close of a socket does with the bytes that the other end has not acknowledged.
+enum class OnClose {
+  kDeliver,  // the system delivers them after the close
+  kReset,    // the system discards them and resets the connection
+};
+void SetOnClose(bufferevent* connection, OnClose on_close);
 // Returns whether the libevent flags `what` report a temporary resource shortage and not the end of the
 // connection. No unwritten bytes are lost, but the socket must be watched again, which the system may refuse
 // as well.
--- a/src/net/upstream/upstream_attempt.h
+++ b/src/net/upstream/upstream_attempt.h
@@ -38,7 +38,7 @@
   [[nodiscard]] safety::DeliveryFacts DeliveryFactsOn(bufferevent* connection, std::size_t unwritten,
                                                       AttemptListener& listener) const;
 
-  // Returns those facts if nothing has left this machine. They need no call to the system.
+  // Returns the same facts as if a byte had not left this machine, without a call to the system.
   [[nodiscard]] safety::DeliveryFacts UnsentFacts() const;
 
   // Begins to write the request with its remaining time. `buffer` is scratch space.
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -30,7 +30,9 @@
       timer_(context.base, [this] { OnTimeout(); }) {}
 
 UpstreamConnection::~UpstreamConnection() {
-  if (connection_) SetResetOnClose(connection_.get(), Unacknowledged(connection_.get()) > 0);
+  if (!connection_) return;
+  const bool is_delivered = Unacknowledged(connection_.get()) == 0;
+  SetOnClose(connection_.get(), is_delivered ? OnClose::kDeliver : OnClose::kReset);
 }
 
 bool UpstreamConnection::Connect() {
@@ -44,7 +46,7 @@
   if (!connection_) return false;
   // After a plain close the system would deliver what the socket holds later, when no rule is checked any
   // more. This includes the close at the end of the process, also if a signal kills it.
-  SetResetOnClose(connection_.get(), true);
+  SetOnClose(connection_.get(), OnClose::kReset);
   bufferevent_setwatermark(connection_.get(), EV_READ, 0, kReadAheadBytes);
   return Watch(connection_.get());
 }
--- a/src/safety/rules.h
+++ b/src/safety/rules.h
@@ -12,7 +12,7 @@
 namespace postspread::safety {
 
 enum class Rule {
-  kClientWaits,    // an attempt starts, and is sent on, only while a client waits for its response
+  kClientWaits,    // an attempt starts and continues only while a client waits for its response
   kUpstreamReady,  // an attempt starts only at a ready upstream, over a connection to its current process
   kRetryWindow,    // the last byte of an attempt arrives only while its idempotency key is valid
   kDeadline,       // an attempt starts before its request's deadline, and states at most the time left
