Tests: one set-up for partly sent writes, waiters leave the byte budget again

Cause: the rewritten random test of the byte budget let no reader withdraw while it waits, which the former one did in 1 of 20 steps: it was weaker there. Change: in half of the rounds, now 80, waiters leave. Five tests of partly sent writes share their set-up, and the loopback address of two partner headers is in one place.

--- a/tests/flow/byte_budget_test.cpp
+++ b/tests/flow/byte_budget_test.cpp
@@ -84,9 +84,11 @@
   CHECK(budget.GrowOrWait(shorter, {.reserved = 110, .message_size = 110}));
 }
 
-TEST_CASE("given messages of any sizes, the total is kept, and all are received without a withdrawal") {
+TEST_CASE(
+    "given messages of any sizes, the total is kept, and all are received whether waiters leave or not") {
   std::mt19937 random(11);
-  for (int round = 0; round < 40; ++round) {
+  for (int round = 0; round < 80; ++round) {
+    const bool waiters_leave = round % 2 == 1;
     ByteBudget budget(1000);
     std::vector<Message> messages(40);
     for (Message& message : messages) message.size = 1 + random() % 1000;
@@ -103,6 +105,8 @@
       } else if (!message->waits && random() % 50 == 0) {  // The client stops and is given up.
         message->Withdraw(budget);
         message->size = 1 + random() % 1000;
+      } else if (message->waits && waiters_leave && random() % 20 == 0) {
+        message->Withdraw(budget);
       } else if (!message->waits) {
         message->Grow(budget);
       }
--- a/tests/net/upstream/attempt_delivery_test.cpp
+++ b/tests/net/upstream/attempt_delivery_test.cpp
@@ -1,6 +1,6 @@
 // Guards against attempts whose last byte reaches an upstream when a rule no longer allows it. An upstream
 // executes a request when its last byte arrives, so what waits in the gateway or in its socket counts. The
-// upstreams of these tests read nothing until they are told to, and judge by what they can read then.
+// upstreams of these tests read nothing at first, and judge by what they can read afterwards.
 #include <sys/socket.h>
 
 #include "partners/site.h"
@@ -59,13 +59,19 @@
   Site site;
 };
 
-// A long write that has begun to arrive at one of the upstreams, which has read nothing.
-struct LongWrite {
-  explicit LongWrite(KeyedSite& fixture, int timeout_ms = 60'000) : client(fixture.site.Client()) {
-    client.Send(KeyedSite::Write(kLongBody, timeout_ms));
+// Where the rest of a write waits while its upstream reads nothing.
+enum class Rest { kInGateway, kInSocket };
+
+// A write that has begun to arrive at one of the upstreams, which has read nothing.
+struct PartlySentWrite {
+  explicit PartlySentWrite(KeyedSite& fixture, Rest rest = Rest::kInGateway, int timeout_ms = 60'000)
+      : client(fixture.site.Client()) {
+    if (rest == Rest::kInSocket) fixture.ReduceReceiveBuffers();
+    client.Send(KeyedSite::Write(rest == Rest::kInSocket ? kSocketBody : kLongBody, timeout_ms));
     selected = fixture.site.AwaitDialedUpstream();
     upstream.emplace(fixture.site.upstream(selected).Accept());
     CHECK(upstream->HasMore(kTimeoutMs));
+    if (rest == Rest::kInSocket) fixture.AwaitWritten(1);
   }
   Peer client;
   int selected = 0;
@@ -100,7 +106,7 @@
     "given a first attempt with bytes unsent, when the window of a hedged request ends, then its rest never "
     "arrives") {
   KeyedSite fixture(1'000'000, {{"settings", {{"Limits", {{"SecondCopies", true}}}}}});
-  LongWrite write(fixture);
+  PartlySentWrite write(fixture);
   Peer second = fixture.site.upstream(1 - write.selected).Accept();
   CHECK(second.Command().at(2) == "one");  // executed, and not answered
   CHECK(write.upstream->HangsUp());        // when the window ends
@@ -113,33 +119,25 @@
     "given an attempt that waits in the gateway's socket, when its client disconnects, then the rest never "
     "arrives") {
   KeyedSite fixture(30'000'000);
-  fixture.ReduceReceiveBuffers();
-  Peer client = fixture.site.Client();
-  client.Send(KeyedSite::Write(kSocketBody));
-  Peer upstream = fixture.site.upstream(fixture.site.AwaitDialedUpstream()).Accept();
-  fixture.AwaitWritten(1);
-  client.Close();
+  PartlySentWrite write(fixture, Rest::kInSocket);
+  write.client.Close();
   fixture.site.WaitForLog("abandoned, unwritten=0 unacknowledged=");
-  CHECK_FALSE(ReceivesWholeCommand(upstream));
+  CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
 }
 
 TEST_CASE(
     "given an attempt that waits in the gateway's socket, when the gateway is killed, then the rest never "
     "arrives") {
   KeyedSite fixture(30'000'000);
-  fixture.ReduceReceiveBuffers();
-  Peer client = fixture.site.Client();
-  client.Send(KeyedSite::Write(kSocketBody));
-  Peer upstream = fixture.site.upstream(fixture.site.AwaitDialedUpstream()).Accept();
-  fixture.AwaitWritten(1);
+  PartlySentWrite write(fixture, Rest::kInSocket);
   fixture.site.Kill();
   CHECK(fixture.site.Wait() == -1);
-  CHECK_FALSE(ReceivesWholeCommand(upstream));
+  CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
 }
 
 TEST_CASE("given a request that is partly sent, when the gateway shuts down, then the rest never arrives") {
   KeyedSite fixture(30'000'000);
-  LongWrite write(fixture);
+  PartlySentWrite write(fixture);
   fixture.site.Terminate();
   CHECK(write.client.Line().starts_with("-ERR"));
   CHECK(fixture.site.Wait() == 0);
@@ -157,7 +155,7 @@
 TEST_CASE(
     "given an upstream that stops reading, when the stated timeout gets stale, then the attempt is retried") {
   KeyedSite fixture(30'000'000, kNoStuckRetries);
-  LongWrite write(fixture, /*timeout_ms=*/4'000);
+  PartlySentWrite write(fixture, Rest::kInGateway, /*timeout_ms=*/4'000);
   Peer second = fixture.site.upstream(1 - write.selected).Accept();
   const int stated_ms = StatedTimeoutMs(second.Command());
   CHECK(stated_ms <= 1'000);  // half of what is left after half of the time
@@ -170,19 +168,16 @@
     "given an attempt that waits in the gateway's socket, when its stated timeout gets stale, then the rest "
     "never arrives") {
   KeyedSite fixture(30'000'000, kNoStuckRetries);
-  fixture.ReduceReceiveBuffers();
-  Peer client = fixture.site.Client();
-  client.Send(KeyedSite::Write(kSocketBody));
-  Peer upstream = fixture.site.upstream(fixture.site.AwaitDialedUpstream()).Accept();
-  CHECK(upstream.HangsUp());  // long before the request's deadline
-  CHECK_FALSE(ReceivesWholeCommand(upstream));
+  PartlySentWrite write(fixture, Rest::kInSocket);
+  CHECK(write.upstream->HangsUp());  // long before the request's deadline
+  CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
 }
 
 TEST_CASE(
     "given attempts that can't be cancelled, when the client of a partly sent one disconnects, then its rest "
     "never arrives") {
   KeyedSite fixture(30'000'000, kNoStuckRetries);
-  LongWrite write(fixture);
+  PartlySentWrite write(fixture);
   write.client.Close();
   CHECK(write.upstream->HangsUp());
   CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
@@ -191,7 +186,7 @@
 TEST_CASE(
     "given a request that is partly sent, when the upstream rejects it, then the connection is not reused") {
   KeyedSite fixture(30'000'000);
-  LongWrite write(fixture);
+  PartlySentWrite write(fixture);
   write.upstream->Send("-BUSY\r\n");
   Peer second = fixture.site.upstream(1 - write.selected).Accept();
   CHECK(second.Command().at(2) == "one");
@@ -204,23 +199,18 @@
     "given a request that waits in the gateway's socket, when the upstream rejects it, then the connection "
     "is not reused") {
   KeyedSite fixture(30'000'000, kNoStuckRetries);
-  fixture.ReduceReceiveBuffers();
-  Peer client = fixture.site.Client();
-  client.Send(KeyedSite::Write(kSocketBody));
-  const int selected = fixture.site.AwaitDialedUpstream();
-  Peer upstream = fixture.site.upstream(selected).Accept();
-  fixture.AwaitWritten(1);
-  upstream.Send("-BUSY\r\n");
-  Peer second = fixture.site.upstream(1 - selected).Accept();
+  PartlySentWrite write(fixture, Rest::kInSocket);
+  write.upstream->Send("-BUSY\r\n");
+  Peer second = fixture.site.upstream(1 - write.selected).Accept();
   CHECK(second.HasMore(kTimeoutMs));
-  CHECK(upstream.HangsUp());
-  CHECK_FALSE(ReceivesWholeCommand(upstream));
+  CHECK(write.upstream->HangsUp());
+  CHECK_FALSE(ReceivesWholeCommand(*write.upstream));
 }
 
 TEST_CASE(
     "given a request that is partly sent, when a value arrives, then it is not taken for its response") {
   KeyedSite fixture(30'000'000);
-  LongWrite write(fixture);
+  PartlySentWrite write(fixture);
   write.upstream->Send("*3\r\n$2\r\nno\r\n$-1\r\n$-1\r\n");  // a late duplicate: the upstream has not begun
   Peer second = fixture.site.upstream(1 - write.selected).Accept();
   CHECK(second.Command().at(2) == "one");
--- a/tests/partners/peer.h
+++ b/tests/partners/peer.h
@@ -16,10 +16,13 @@
 #include <utility>
 #include <vector>
 
+#include "partners/loopback.h"
 #include "resp/frame.h"
 
 namespace postspread::site {
 
+using partners::Loopback;
+
 constexpr int kTimeoutMs = 20'000;  // a test fails if an event takes longer
 
 inline bool Readable(int fd, int wait_ms = kTimeoutMs) {
@@ -124,14 +127,6 @@
   std::string buffer_;
 };
 
-inline sockaddr_in Loopback(int port) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  out.sin_port = htons(static_cast<std::uint16_t>(port));
-  return out;
-}
-
 class Port {
  public:
   explicit Port(int backlog = 16) : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
--- a/tests/partners/server.h
+++ b/tests/partners/server.h
@@ -18,16 +18,10 @@
 #include <utility>
 
 #include "net/loop.h"
+#include "partners/loopback.h"
 
 namespace postspread::partners {
 
-inline sockaddr_in Loopback(int port) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  out.sin_port = htons(static_cast<std::uint16_t>(port));
-  return out;
-}
 inline std::string LoopbackAddress(int port) { return "127.0.0.1:" + std::to_string(port); }
 
 // Allocates ports that no other process of these tests and benches uses while this one runs. Otherwise a
