Review case 8 takes up case 9: what a broken value takes along, before it and behind it

Cause: one function ends the connection in both, AbortStream, so the two are scenes of one case; the place is needed for another. Change: case 8 plays both scenes, with a claim for both. Nothing is mended.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,6 @@
-// A client that reads slowly has two values in a row to come on one connection. The worker of the second one
-// resets its connection in the middle of that value. Does the first value, which its worker has given whole,
-// arrive whole?
+// What does a large value that breaks off take along? Its worker resets its connection in the middle of it.
+// Scene 1: a client reads slowly; before the broken value there is one that its worker has given whole.
+// Scene 2: the broken value waits behind an earlier answer, and a write that has run stands behind it.
 #include "site.h"
 
 using namespace review;
@@ -25,10 +25,9 @@
   bool is_closed = false, is_judged = false, is_whole = false;
 };
 
-}  // namespace
-
-int main() {
-  Begin();
+// Returns how many whole values were cut off.
+int PlayValuesBefore() {
+  Record("scene 1: a whole value before the broken one");
   Loop loop;
   Discovery discovery(loop);
   Counter counter(loop);
@@ -96,6 +95,72 @@
              client.is_whole ? "" : ", then the gateway closed the connection: CUT OFF");
     }
   }
-  return End(cut > 0 || judged < kClients,
-             std::to_string(cut) + " of " + std::to_string(kClients) + " whole values were cut off");
+  Record("scene 1: %d of %d whole values were cut off", cut, kClients);
+  return cut + kClients - judged;
+}
+
+// Returns how many requests have neither an answer nor a byte of one.
+int PlayRequestsBehind() {
+  Record("scene 2: requests that wait, before and behind the broken one");
+  Loop loop;
+  Discovery discovery(loop);
+  Counter counter(loop);
+  Worker one(loop, "s-0", 0), two(loop, "s-1", 0);
+  const std::string ids[3] = {NewId(), NewId(), NewId()};
+  const std::string large(200'000, 'v');
+  bool has_run = false;
+  for (Worker* worker : {&one, &two}) {
+    worker->on_request = [&, worker](const Worker::Request& request) {
+      Record("%s runs %s %s", worker->name.c_str(), request.verb.c_str(), request.id.c_str());
+      if (request.id == ids[2]) has_run = true;
+      if (request.id != ids[1]) {
+        loop.After(request.id == ids[0] ? 1.0 : 0.2, [worker, request] {
+          Record("%s answers %s", worker->name.c_str(), request.id.c_str());
+          request.connection->Send(Served("value of " + request.id));
+        });
+        return;
+      }
+      const std::string answer = Served(large);
+      request.connection->Send(HasTrouble() ? answer.substr(0, 1'000) : answer);
+      if (!HasTrouble()) return;
+      loop.After(0.4, [worker, connection = request.connection, id = request.id] {
+        Record("%s resets its connection in the middle of the value of %s", worker->name.c_str(), id.c_str());
+        connection->Reset();
+      });
+    };
+  }
+  discovery.SetList({one.Entry("Ready"), two.Entry("Ready")});
+  Options options;
+  options.classes = {{"calendar-read", 0.8, 3, "safe"}, {"event-signup", 2, 8, "unsafe"}};
+  Gateway gateway(loop, options, discovery, counter);
+  gateway.AwaitReady();
+  const auto client = Dial(loop, gateway.port());
+  Record("client sends %s, %s (reads) and %s (event-signup)", ids[0].c_str(), ids[1].c_str(), ids[2].c_str());
+  client->Send(ReadCommand(ids[0], "calendar-read", 3'000) + ReadCommand(ids[1], "calendar-read", 3'000) +
+               WriteCommand(ids[2], "event-signup", 8'000));
+  const std::string first = Bulk("value of " + ids[0]), third = Bulk("value of " + ids[2]);
+  loop.Run(9, [&] {
+    return !client->is_open() || client->in.ends_with(third) || client->in.ends_with("-ERR failed\r\n");
+  });
+  Record("client got %zu bytes; connection %s", client->in.size(),
+         client->is_open() ? "open" : "closed by the gateway");
+  const bool has_first = client->in.starts_with(first);
+  const std::size_t second_bytes = has_first ? client->in.size() - first.size() : 0;
+  const bool has_third =
+      client->in.ends_with(third) || (client->is_open() && client->in.ends_with("-ERR failed\r\n"));
+  Record("answer to %s: %s; bytes after it: %zu; answer to %s: %s", ids[0].c_str(),
+         has_first ? "yes" : "none", second_bytes, ids[2].c_str(), has_third ? "yes" : "none");
+  const int unanswered = (has_first ? 0 : 1) + (second_bytes > 0 ? 0 : 1) + (has_run && !has_third ? 1 : 0);
+  Record("scene 2: %d of 3 requests have no answer and not one byte of it", unanswered);
+  return unanswered;
+}
+
+}  // namespace
+
+int main() {
+  Begin();
+  const int cut = PlayValuesBefore();
+  const int unanswered = PlayRequestsBehind();
+  return End(cut + unanswered > 0, std::to_string(cut) + " whole values cut off, " +
+                                       std::to_string(unanswered) + " requests with no answer");
 }
