--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -19,7 +19,7 @@
   for (const auto& worker : workers) {
     Worker* self = worker.get();
     worker->on_request = [&, self](const Worker::Request& request) {
-      if (self == vanished && request.connection->number <= 1000) return;  // that machine says nothing
+      if (self == vanished) return;  // that machine says nothing
       const std::string key = Field(request.fields, "k");
       int& count = runs[key][self->cell];
       // The workers of a cell drop a repeat: they answer without running it again.
