--- a/review/common-2/run-case.sh
+++ b/review/common-2/run-case.sh
@@ -15,6 +15,7 @@
   rm -rf "$CASE_TMP"
 }
 trap finish EXIT
+trap 'exit 2' INT TERM HUP
 if [ ! -x "$program" ] || [ -z "$RUN" ]; then
   echo "could not run: build first (the deploy file's build, then review/build-2.sh)" | tee "$RECORD"
   exit 2
