--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -64,12 +64,12 @@
     case State::kAwaitingSend:
       return to == State::kAwaitingReply;
     case State::kAwaitingReply:
-      return to == State::kReadingReply || to == State::kDrainingReply;
+      return to == State::kReadingReply || to == State::kReplyComplete;
     case State::kReadingReply:
-      return to == State::kStreamingValue || to == State::kDrainingReply;
+      return to == State::kStreamingValue || to == State::kReplyComplete;
     case State::kStreamingValue:
-      return to == State::kDrainingReply;
-    case State::kDrainingReply:
+      return to == State::kReplyComplete;
+    case State::kReplyComplete:
       return to == State::kIdle;
     case State::kClosed:
       return false;
@@ -99,7 +99,7 @@
     return Report(outcome);
   }
   owner_.RemoveAttempt(attempt_.key);
-  if (stream_.remaining() > 0) {
+  if (last_state == State::kStreamingValue) {
     context_.listener.OnStreamFinished(attempt_.key.request, StreamEnd::kAborted);
   }
 }
@@ -273,9 +273,9 @@
 void UpstreamConnection::OnDisconnected() {
   if (is_idle()) return Close(AttemptResult::kReset);
   if (IsReported()) {
+    // The rest of the reply may have arrived before.
     is_upstream_closed_ = true;
-    const bool can_complete = stream_.remaining() > 0 && ReadSize(connection_.get()) >= stream_.remaining();
-    if (!can_complete) Close(AttemptResult::kReset);
+    if (!is_stream_paused_) ForwardValue();
     return;
   }
   // The upstream can't have executed a request before its last byte was sent; after that it may have.
@@ -289,6 +289,7 @@
 void UpstreamConnection::OnTimeout() {
   switch (state_) {
     case State::kIdle:
+    case State::kReplyComplete:
     case State::kClosed:
       return;
     case State::kConnecting:
@@ -299,7 +300,6 @@
       return CheckDelivery();
     case State::kStreamingValue:
     case State::kReadingReply:
-    case State::kDrainingReply:
       return OnReplyStalled();
   }
 }
@@ -330,7 +330,6 @@
     return Close(is_idle() ? AttemptResult::kReset : AttemptResult::kConnectFailed);
   }
   if (state_ == State::kStreamingValue) return ForwardValue();
-  if (state_ == State::kDrainingReply) return DrainReply();
   const auto now = Clock::now();
   if (state_ == State::kReadingReply) {
     context_.stall_timeout.RecordGap(duration_cast<microseconds>(now - last_read_at_));
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -104,8 +104,8 @@
     kAwaitingSend,    // the connection is established; no byte of the attempt has been sent
     kAwaitingReply,   // the attempt's first byte has been sent, no reply has begun
     kReadingReply,    // a reply has begun and is incomplete
-    kStreamingValue,  // the attempt is reported; its value is being forwarded
-    kDrainingReply,   // the attempt is reported; the rest of its reply is being read
+    kStreamingValue,  // the attempt is reported; its reply is being read and its value forwarded
+    kReplyComplete,   // the reply has been read; the connection is about to be released
     kIdle,
     kClosed,  // removed from its owner
   };
@@ -116,7 +116,7 @@
     return state_ == State::kConnecting || state_ == State::kAwaitingSend;
   }
   [[nodiscard]] bool IsReported() const {
-    return state_ == State::kStreamingValue || state_ == State::kDrainingReply;
+    return state_ == State::kStreamingValue || state_ == State::kReplyComplete;
   }
   [[nodiscard]] bool LeadsToCurrentProcess() const;
   [[nodiscard]] bool IsUpstreamReady() const;
@@ -145,7 +145,6 @@
   bool BeginStream(const resp::LargeValue& large);
   void ForwardValue();
   void OnValueForwarded();
-  void DrainReply();
   void Release(std::size_t reply_size);
   void ArmStallTimer();
   // Makes room for a reply of `size` bytes. Returns false if the memory is used up.
@@ -167,7 +166,7 @@
   UpstreamAttempt attempt_;
   ValueStream stream_;
   bool is_stream_paused_ = false;    // the client has no capacity
-  bool is_upstream_closed_ = false;  // the upstream has closed the connection after the attempt was reported
+  bool is_upstream_closed_ = false;  // the upstream has closed the connection that streams a value
   std::size_t bytes_needed_ = 0;     // bytes that the next parsing step needs; 0 if unknown
   std::size_t reserved_bytes_ = 0;   // for the reply, beyond the read-ahead
   Clock::time_point connect_started_at_;
--- a/src/net/upstream/upstream_connection_reply.cpp
+++ b/src/net/upstream/upstream_connection_reply.cpp
@@ -89,7 +89,7 @@
   timer_.Disarm();
   // The value is a slice of the read buffer, so the buffer is consumed and the connection released only after
   // the report.
-  Transition(State::kDrainingReply);
+  Transition(State::kReplyComplete);
   ReleaseReply();  // the client's connection reserves what it has to keep
   Report(*outcome);
   Release(reply.size);
@@ -136,6 +136,7 @@
 void UpstreamConnection::ForwardValue() {
   switch (stream_.Forward(connection_.get(), attempt_.key.request, context_.listener)) {
     case ValueStream::Progress::kNeedsInput:
+      if (is_upstream_closed_) return Close(AttemptResult::kReset);
       return timer_.Arm(std::max(microseconds(kValueStallTimeout), attempt_.TimeLeft()));
     case ValueStream::Progress::kClientFull:
       // Reads nothing from the upstream and runs no timeout until the client has capacity again.
@@ -151,33 +152,17 @@
 
 void UpstreamConnection::Resume() {
   if (state_ != State::kStreamingValue || !std::exchange(is_stream_paused_, false)) return;
-  Watch(connection_.get());  // if this fails, EnsureWatched retries it
+  if (!is_upstream_closed_) Watch(connection_.get());  // if this fails, EnsureWatched retries it
   ForwardValue();
 }
 
 void UpstreamConnection::OnValueForwarded() {
-  Transition(State::kDrainingReply);
+  timer_.Disarm();
+  Transition(State::kReplyComplete);
   owner_.RemoveAttempt(attempt_.key);
   context_.listener.OnStreamFinished(attempt_.key.request, StreamEnd::kComplete);
-  bytes_needed_ = 0;
   if (is_upstream_closed_) return Close(AttemptResult::kReset);
-  timer_.Arm(StallTimeout::kMin);
-  DrainReply();
-}
-
-// Reads the parts after the streamed value, so that the connection can be reused.
-void UpstreamConnection::DrainReply() {
-  resp::Reply reply;
-  for (;;) {
-    if (!ReserveReply(bytes_needed_)) return CloseForLackOfMemory();
-    if (ReadSize(connection_.get()) < bytes_needed_) return;
-    const resp::Progress progress = resp::ParseTrailingParts(PeekNeeded(), stream_.trailing_parts(), reply);
-    if (progress == resp::Progress::kMalformed) return CloseMalformed();
-    if (progress == resp::Progress::kComplete) break;
-    bytes_needed_ = reply.bytes_needed;
-  }
-  timer_.Disarm();
-  Release(reply.size);
+  Release(/*reply_size=*/0);
 }
 
 }  // namespace postspread::net
--- a/src/net/upstream/value_stream.cpp
+++ b/src/net/upstream/value_stream.cpp
@@ -1,45 +1,69 @@
 #include "net/upstream/value_stream.h"
 
 #include <algorithm>
+#include <new>
+#include <string_view>
 
 namespace postspread::net {
 namespace {
 
-constexpr std::size_t kLineEndSize = 2;  // bytes
+constexpr std::string_view kLineEnd = "\r\n";
+// The end of a value that is held back: its line end and one byte, so that a client that does not wait for
+// the line end can tell, too.
+constexpr std::size_t kEndSize = kLineEnd.size() + 1;
 
 }  // namespace
 
 void ValueStream::Begin(const resp::LargeValue& value) {
-  remaining_ = value.size;
-  trailing_parts_ = value.rest;
+  if (!end_) end_.reset(evbuffer_new());
+  if (!end_) throw std::bad_alloc();
+  body_left_ = value.size - kEndSize;
+  end_left_ = kEndSize;
+  trailing_parts_ = resp::TrailingParts(value.rest);
 }
 
 ValueStream::Progress ValueStream::Forward(bufferevent* connection, RequestId request,
                                            AttemptListener& listener) {
-  while (remaining_ > 0) {
-    const std::size_t available = ReadSize(connection);
-    // The final line end is verified before any of it is forwarded, so that a value of the wrong length can
-    // still be aborted.
-    const bool is_complete = available >= remaining_;
-    if (is_complete && !EndsWithLineEnd(connection)) return Progress::kMalformed;
-    const std::size_t ready = is_complete ? remaining_ : std::min(available, remaining_ - kLineEndSize);
-    const std::size_t capacity = listener.StreamCapacity(request);
-    std::size_t size = std::min(ready, capacity);
-    if (size < remaining_ && size > remaining_ - kLineEndSize) size = remaining_ - kLineEndSize;
-    if (size == 0) return ready == 0 ? Progress::kNeedsInput : Progress::kClientFull;
-    remaining_ -= size;
-    listener.StreamValue(request, bufferevent_get_input(connection), size);
+  evbuffer* input = bufferevent_get_input(connection);
+  Progress progress = ForwardFrom(input, body_left_, request, listener);
+  if (progress == Progress::kComplete) progress = ReadEnd(connection);
+  if (progress == Progress::kComplete) progress = ReadTrailingParts(connection);
+  if (progress == Progress::kComplete) progress = ForwardFrom(end_.get(), end_left_, request, listener);
+  return progress;
+}
+
+ValueStream::Progress ValueStream::ForwardFrom(evbuffer* from, std::size_t& size, RequestId request,
+                                               AttemptListener& listener) {
+  while (size > 0) {
+    const std::size_t available = evbuffer_get_length(from);
+    if (available == 0) return Progress::kNeedsInput;
+    const std::size_t forwarded = std::min({size, available, listener.StreamCapacity(request)});
+    if (forwarded == 0) return Progress::kClientFull;
+    size -= forwarded;
+    listener.StreamValue(request, from, forwarded);
   }
   return Progress::kComplete;
 }
 
-bool ValueStream::EndsWithLineEnd(bufferevent* connection) const {
-  evbuffer* input = bufferevent_get_input(connection);
-  evbuffer_ptr position;
-  char end[kLineEndSize] = {};
-  return evbuffer_ptr_set(input, &position, remaining_ - kLineEndSize, EVBUFFER_PTR_SET) == 0 &&
-         evbuffer_copyout_from(input, &position, end, sizeof end) == sizeof end && end[0] == '\r' &&
-         end[1] == '\n';
+// Takes the end of the value from the read buffer, once it has arrived.
+ValueStream::Progress ValueStream::ReadEnd(bufferevent* connection) {
+  if (evbuffer_get_length(end_.get()) > 0 || end_left_ < kEndSize) return Progress::kComplete;
+  if (ReadSize(connection) < kEndSize) return Progress::kNeedsInput;
+  if (!Peek(connection, kEndSize).substr(0, kEndSize).ends_with(kLineEnd)) return Progress::kMalformed;
+  evbuffer_remove_buffer(bufferevent_get_input(connection), end_.get(), kEndSize);
+  return Progress::kComplete;
+}
+
+ValueStream::Progress ValueStream::ReadTrailingParts(bufferevent* connection) {
+  for (;;) {
+    const std::size_t peeked = std::min(ReadSize(connection), resp::TrailingParts::kMaxLineSize);
+    const resp::Progress progress = trailing_parts_.Read(Peek(connection, peeked));
+    const std::size_t bytes_read = trailing_parts_.bytes_read();
+    Consume(connection, bytes_read);
+    if (progress == resp::Progress::kMalformed) return Progress::kMalformed;
+    if (progress == resp::Progress::kComplete) return Progress::kComplete;
+    if (bytes_read == 0) return Progress::kNeedsInput;
+  }
 }
 
 }  // namespace postspread::net
--- a/src/net/upstream/value_stream.h
+++ b/src/net/upstream/value_stream.h
@@ -1,8 +1,11 @@
-// Forwards a large value from an upstream's connection to the client as it arrives.
+// Forwards a large value from an upstream's connection to the client as it arrives. The client can tell that
+// the value is complete only once the whole reply has been read and is valid: the value's last bytes are held
+// back until then.
 #ifndef POSTSPREAD_NET_UPSTREAM_VALUE_STREAM_H_
 #define POSTSPREAD_NET_UPSTREAM_VALUE_STREAM_H_
 
 #include <cstddef>
+#include <memory>
 
 #include "net/loop.h"
 #include "net/upstream/attempt_listener.h"
@@ -13,28 +16,31 @@
 class ValueStream {
  public:
   enum class Progress {
-    kNeedsInput,  // all bytes that have arrived are forwarded
+    kNeedsInput,  // all bytes that have arrived are forwarded, except for the last of the value
     kClientFull,  // the client has no capacity for more bytes
-    kComplete,
-    kMalformed,  // the value does not end where its length says
+    kComplete,    // the reply has been read, and its value is forwarded
+    kMalformed,   // the value does not end where its length says, or the parts behind it can't be read
   };
 
-  // Starts a stream. The value's own framing must be at the front of the read buffer.
+  // Starts a stream. The value's own framing must be at the front of the read buffer. Throws std::bad_alloc.
   void Begin(const resp::LargeValue& value);
 
-  // Forwards the bytes that have arrived, as far as the client has capacity.
+  // Reads the bytes that have arrived, and forwards those of the value as far as the client has capacity.
   Progress Forward(bufferevent* connection, RequestId request, AttemptListener& listener);
 
-  // Returns the number of bytes that are still to be forwarded, including the framing.
-  [[nodiscard]] std::size_t remaining() const { return remaining_; }
-  // Returns the number of parts that follow the value in its reply.
-  [[nodiscard]] std::size_t trailing_parts() const { return trailing_parts_; }
-
  private:
-  [[nodiscard]] bool EndsWithLineEnd(bufferevent* connection) const;
-
-  std::size_t remaining_ = 0;
-  std::size_t trailing_parts_ = 0;
+  using Buffer = std::unique_ptr<evbuffer, HandleDeleter<evbuffer_free>>;
+
+  // Forwards the first `size` bytes of `from`, or as many as it has, and reduces `size` by their number.
+  static Progress ForwardFrom(evbuffer* from, std::size_t& size, RequestId request,
+                              AttemptListener& listener);
+  Progress ReadEnd(bufferevent* connection);
+  Progress ReadTrailingParts(bufferevent* connection);
+
+  std::size_t body_left_ = 0;  // bytes that are still to be forwarded before the end of the value
+  std::size_t end_left_ = 0;   // bytes of the value's end that are still to be forwarded
+  Buffer end_;                 // the end of the value once it has arrived; it is held back
+  resp::TrailingParts trailing_parts_;
 };
 
 }  // namespace postspread::net
--- a/src/resp/frame.cpp
+++ b/src/resp/frame.cpp
@@ -9,6 +9,7 @@
 
 // The maximum size of a line that contains a length, with its type byte and without its CRLF.
 constexpr std::size_t kMaxLengthLineBytes = 16;
+constexpr std::string_view kLineEnd = "\r\n";
 
 // Reads the lines and values of one message in order.
 class Cursor {
@@ -91,22 +92,37 @@
   return progress == Progress::kMalformed ? Fail(out, "bulk string without its end") : progress;
 }
 
-// Parses one part of an array: a bulk string, null or a simple value.
-Progress ParsePart(Cursor& cursor, std::size_t max_bytes, Reply::Part& part) {
+// The header of one part of an array.
+struct PartHeader {
+  enum class Kind { kSimple, kNull, kBulk };
+  Kind kind = Kind::kNull;
+  std::string_view text;   // kSimple: the value
+  std::size_t length = 0;  // kBulk: the value's bytes, which follow
+};
+
+// Parses the header of a part: a bulk string, null or a simple value.
+Progress ParsePartHeader(Cursor& cursor, std::size_t max_bytes, PartHeader& out) {
   std::string_view line;
-  Progress progress = cursor.Header(":+-$", line);
+  const Progress progress = cursor.Header(":+-$", line);
   if (progress != Progress::kComplete) return progress;
-  if (line[0] != '$') {
-    part.text = line.substr(1);
-    return Progress::kComplete;
-  }
-  const std::optional<long> length = ToLength(line.substr(1));
-  if (length == -1) {
-    part.null = true;
-    return Progress::kComplete;
-  }
+  out.text = line.substr(1);
+  out.kind = PartHeader::Kind::kSimple;
+  if (line[0] != '$') return Progress::kComplete;
+  const std::optional<long> length = ToLength(out.text);
+  out.kind = length == -1 ? PartHeader::Kind::kNull : PartHeader::Kind::kBulk;
+  if (length == -1) return Progress::kComplete;
   if (!length || *length < 0 || *length > static_cast<long>(max_bytes)) return Progress::kMalformed;
-  return cursor.Value(static_cast<std::size_t>(*length), part.text);
+  out.length = static_cast<std::size_t>(*length);
+  return Progress::kComplete;
+}
+
+Progress ParsePart(Cursor& cursor, std::size_t max_bytes, Reply::Part& part) {
+  PartHeader header;
+  const Progress progress = ParsePartHeader(cursor, max_bytes, header);
+  if (progress != Progress::kComplete) return progress;
+  part.null = header.kind == PartHeader::Kind::kNull;
+  part.text = part.null ? std::string_view() : header.text;
+  return header.kind == PartHeader::Kind::kBulk ? cursor.Value(header.length, part.text) : progress;
 }
 
 // Parses the value of a bulk string whose header is in `out.text`.
@@ -225,18 +241,35 @@
   return true;
 }
 
-Progress ParseTrailingParts(std::string_view bytes, std::size_t count, Reply& out) {
-  out.count = out.size = out.bytes_needed = 0;
-  Cursor cursor(bytes);
-  Progress progress = Progress::kComplete;
-  while (progress == Progress::kComplete && out.count < count) {
-    out.parts[out.count] = {};
-    progress = ParsePart(cursor, kMaxSmallValueBytes, out.parts[out.count]);
-    if (progress == Progress::kComplete) ++out.count;
+Progress TrailingParts::Read(std::string_view bytes) {
+  bytes_read_ = 0;
+  while (parts_left_ > 0) {
+    const Progress progress = ReadPart(bytes);
+    if (progress != Progress::kComplete) return progress;
+    --parts_left_;
   }
-  out.bytes_needed = cursor.bytes_needed();
-  out.size = cursor.offset();
-  return progress;
+  return Progress::kComplete;
+}
+
+Progress TrailingParts::ReadPart(std::string_view bytes) {
+  if (value_bytes_left_ == 0) {
+    Cursor cursor(bytes.substr(bytes_read_));
+    PartHeader header;
+    const Progress progress = ParsePartHeader(cursor, kMaxSmallValueBytes, header);
+    if (progress != Progress::kComplete) return progress;
+    bytes_read_ += cursor.offset();
+    if (header.kind != PartHeader::Kind::kBulk) return Progress::kComplete;
+    value_bytes_left_ = header.length + kLineEnd.size();
+  }
+  const std::size_t available = bytes.size() - bytes_read_;
+  const std::size_t skipped = std::min(available, value_bytes_left_ - kLineEnd.size());
+  bytes_read_ += skipped;
+  value_bytes_left_ -= skipped;
+  if (value_bytes_left_ > kLineEnd.size() || available - skipped < kLineEnd.size()) return Progress::kPartial;
+  if (bytes.substr(bytes_read_, kLineEnd.size()) != kLineEnd) return Progress::kMalformed;
+  bytes_read_ += kLineEnd.size();
+  value_bytes_left_ = 0;
+  return Progress::kComplete;
 }
 
 void AppendBulk(std::string_view value, std::string& out) {
--- a/src/resp/frame.h
+++ b/src/resp/frame.h
@@ -63,8 +63,28 @@
 // bytes. Returns false also if the value's header has not arrived completely.
 bool BeginsWithLargeValue(std::string_view bytes, LargeValue& out,
                           std::size_t min_size = kMaxSmallValueBytes);
-// Parses the `count` parts of an array reply that follow its first.
-Progress ParseTrailingParts(std::string_view bytes, std::size_t count, Reply& out);
+
+// Reads the parts of an array reply that follow its first, as they arrive, and keeps none of their bytes.
+class TrailingParts {
+ public:
+  // The longest prefix of a part that Read can't split, in bytes: a line with its CRLF.
+  static constexpr std::size_t kMaxLineSize = kMaxLineBytes + 2;
+
+  explicit TrailingParts(std::size_t count = 0) : parts_left_(count) {}
+
+  // Reads from `bytes`, which begin where the last call has ended. With kPartial, the next call needs at
+  // least one byte more than this call has left unread.
+  Progress Read(std::string_view bytes);
+  // Returns how many bytes the last call has read.
+  [[nodiscard]] std::size_t bytes_read() const { return bytes_read_; }
+
+ private:
+  Progress ReadPart(std::string_view bytes);
+
+  std::size_t parts_left_ = 0;
+  std::size_t value_bytes_left_ = 0;  // of a bulk string that has begun, with its line end
+  std::size_t bytes_read_ = 0;
+};
 
 // The writers append to `out`.
 void AppendBulk(std::string_view value, std::string& out);
