--- a/src/net/downstream/client_connection.cpp
+++ b/src/net/downstream/client_connection.cpp
@@ -61,8 +61,7 @@
       timer_.Arm(kLingerCheckInterval);
       break;
     case State::kAborted:
-      // The timer destroys the connection, because the caller may be a member function of it.
-      bufferevent_disable(connection_.get(), EV_READ | EV_WRITE);
+      // The timer goes on, because the caller may be a member function of a request that is cancelled then.
       timer_.Arm(milliseconds(0));
       break;
   }
@@ -412,7 +411,7 @@
 
 void ClientConnection::OnTimer() {
   if (state_ == State::kOpen || state_ == State::kClosing) return OnRead();
-  if (state_ == State::kAborted) return owner_.Remove(this);
+  if (state_ == State::kAborted) return ShutDownAborted();
   const LingeringClose::Status status = lingering_close_.Check();
   if (status == LingeringClose::Status::kWaiting) return timer_.Arm(kLingerCheckInterval);
   if (status == LingeringClose::Status::kTimedOut) close_reason_ = ops::CloseReason::kWriteTimeout;
--- a/src/net/downstream/client_connection.h
+++ b/src/net/downstream/client_connection.h
@@ -110,10 +110,10 @@
     kOpen,
     kClosing,    // processes no more commands; shuts down its sending side once all responses are written
     kLingering,  // waits for the client to close
-    kAborted,    // a streamed response broke off; the connection neither reads nor writes
+    kAborted,  // a streamed response broke off; no response is written any more, and closing follows at once
   };
-  // Changes the state; nothing else does. Allowed are open to closing, closing to lingering, and open or
-  // closing to aborted.
+  // Changes the state; nothing else does. Allowed are open to closing, closing to lingering, open or closing
+  // to aborted, and aborted to closing.
   void TransitionTo(State next);
 
   void OnRead();
@@ -161,6 +161,7 @@
   // Rejects the command that waits for memory, and skips the rest of it.
   void RejectWaitingCommand();
   void ShutDownIfAllowed();
+  void ShutDownAborted();
 
   ConnectionContext& context_;
   Owner& owner_;
--- a/src/net/downstream/client_connection_responses.cpp
+++ b/src/net/downstream/client_connection_responses.cpp
@@ -73,10 +73,24 @@
 }
 
 void ClientConnection::AbortStream(Slot slot) {
-  if (state_ == State::kAborted || !responses_.AbortStream(slot)) return;
-  // Nothing may follow the incomplete value, or the client would regard the value as complete.
-  close_reason_ = ops::CloseReason::kStreamAborted;
-  TransitionTo(State::kAborted);
+  if (state_ == State::kAborted) return;
+  switch (responses_.AbortStream(slot)) {
+    case ResponseSender::Abort::kNothing:
+      return;
+    case ResponseSender::Abort::kWithdrawn:
+      return Fail(slot, planner::FailureReason::kFailed);
+    case ResponseSender::Abort::kCutOff:
+      // Nothing may follow the incomplete value, or the client would regard the value as complete.
+      close_reason_ = ops::CloseReason::kStreamAborted;
+      return TransitionTo(State::kAborted);
+  }
+}
+
+// The responses before the incomplete one are complete, and the client may not have read them yet.
+void ClientConnection::ShutDownAborted() {
+  CancelPendingRequests();
+  TransitionTo(State::kClosing);
+  ShutDownIfAllowed();
 }
 
 void ClientConnection::OnWritten() {
--- a/src/net/downstream/request_handler.h
+++ b/src/net/downstream/request_handler.h
@@ -33,7 +33,8 @@
   // Moves `size` bytes, at most the capacity, from the front of `from`.
   virtual void WriteStream(Slot slot, evbuffer* from, std::size_t size) = 0;
   virtual void EndStream(Slot slot) = 0;
-  // Ends a value whose rest can't be delivered, so that the client sees that the value is incomplete.
+  // Ends a value whose rest can't be delivered. If no byte of it has left, the response is that the request
+  // has failed; otherwise the client sees that the value is incomplete.
   virtual void AbortStream(Slot slot) = 0;
   // Checks the socket, because the event loop may not have read a disconnect yet.
   virtual bool IsClientConnected() = 0;
--- a/src/net/downstream/response_sender.cpp
+++ b/src/net/downstream/response_sender.cpp
@@ -40,8 +40,7 @@
 }
 
 void ResponseSender::UpdateReservation() {
-  const bool is_streaming = !queue_.empty() && queue_.front().is_streamed;
-  const std::size_t needed = queue_.buffered_bytes() + (is_streaming ? 0 : Unwritten(connection_));
+  const std::size_t needed = queue_.buffered_bytes() + (stream_bytes_ > 0 ? 0 : Unwritten(connection_));
   flow::ByteBudget& budget = context_.memory.responses;
   if (needed > reserved_bytes_) {
     // The response is owed. It is the reply of an upstream, whose reservation has been released, or short.
@@ -88,17 +87,20 @@
   response->is_streamed = true;
   stream_window_ = window;
   SetKernelBufferSize(connection_, SO_SNDBUF, kStreamSendBufferBytes);
-  bufferevent_setwatermark(connection_, EV_WRITE, window / 2, 0);
 }
 
 std::size_t ResponseSender::StreamCapacity(Slot slot) {
   if (!queue_.IsFirst(slot) || queue_.FindUnready(slot) == nullptr) return 0;
-  return stream_window_ - std::min(stream_window_, Unwritten(connection_));
+  const std::size_t unwritten = Unwritten(connection_);
+  if (stream_bytes_ == 0 && unwritten > 0) return 0;  // of earlier responses
+  return stream_window_ - std::min(stream_window_, unwritten);
 }
 
 void ResponseSender::WriteStream(Slot slot, evbuffer* from, std::size_t size) {
   if (queue_.IsFirst(slot) && queue_.FindUnready(slot) != nullptr) {
+    if (stream_bytes_ == 0) bufferevent_setwatermark(connection_, EV_WRITE, stream_window_ / 2, 0);
     evbuffer_remove_buffer(from, bufferevent_get_output(connection_), size);
+    stream_bytes_ += size;
   } else {
     evbuffer_drain(from, size);
   }
@@ -108,18 +110,29 @@
   const PendingResponse* response = queue_.FindUnready(slot);
   if (response == nullptr || !queue_.IsFirst(slot)) return Result::kNothing;
   context_.pending_ids.erase(response->id_hash);
-  bufferevent_setwatermark(connection_, EV_WRITE, 0, 0);
+  FinishStreaming();
   queue_.Pop();
   WriteReady();
   return Result::kWritten;
 }
 
-bool ResponseSender::AbortStream(Slot slot) {
+void ResponseSender::FinishStreaming() {
+  stream_bytes_ = 0;
+  bufferevent_setwatermark(connection_, EV_WRITE, 0, 0);
+}
+
+ResponseSender::Abort ResponseSender::AbortStream(Slot slot) {
   PendingResponse* response = queue_.FindUnready(slot);
-  if (response == nullptr) return false;
-  context_.pending_ids.erase(response->id_hash);
+  if (response == nullptr) return Abort::kNothing;
   response->request.reset();
-  return true;
+  response->is_streamed = false;
+  if (!queue_.IsFirst(slot) || stream_bytes_ == 0) return Abort::kWithdrawn;
+  const bool has_left = Unwritten(connection_) < stream_bytes_;
+  DiscardUnwritten(connection_);
+  FinishStreaming();
+  if (!has_left) return Abort::kWithdrawn;
+  context_.pending_ids.erase(response->id_hash);
+  return Abort::kCutOff;
 }
 
 void ResponseSender::OnWritten() { WriteReady(); }
--- a/src/net/downstream/response_sender.h
+++ b/src/net/downstream/response_sender.h
@@ -43,14 +43,20 @@
   // by the ready responses after it.
   Result Send(Slot slot, std::string_view text);
 
-  // These functions correspond to those of ResponseWriter.
+  // These functions correspond to those of ResponseWriter. A streamed response begins only once the socket
+  // has accepted all earlier ones, so what is unwritten then belongs to it alone.
   void BeginStream(Slot slot, std::size_t window);
   [[nodiscard]] std::size_t StreamCapacity(Slot slot);
   void WriteStream(Slot slot, evbuffer* from, std::size_t size);
   Result EndStream(Slot slot);
-  // Returns whether the response was pending. If so, the caller must close the connection and write nothing
-  // more.
-  bool AbortStream(Slot slot);
+
+  enum class Abort {
+    kNothing,    // the response was not pending
+    kWithdrawn,  // no byte of it has left; it is pending again, and Send can write another response
+    kCutOff,     // the caller must write nothing more, and close once the client has what was written before
+  };
+  // Ends a streamed response whose rest can't be delivered, and drops what is unwritten of it.
+  Abort AbortStream(Slot slot);
   // Continues with the ready responses, or the streamed one, that are first. The caller calls it after the
   // socket has accepted bytes.
   void OnWritten();
@@ -65,14 +71,16 @@
  private:
   void WriteReady();
   void ResumeFirstStream();
+  void FinishStreaming();
   // Counts the connection as active while responses are pending.
   void UpdateActivity();
 
   bufferevent* connection_;
   ConnectionContext& context_;
   ResponseQueue queue_;
-  std::size_t stream_window_ = 0;   // maximum unwritten bytes of a streamed response
-  bool is_active_ = false;          // counted in ConnectionContext::active_connections
+  std::size_t stream_window_ = 0;  // maximum unwritten bytes of a streamed response
+  std::size_t stream_bytes_ = 0;   // bytes of the first response, which is streamed, that WriteStream has got
+  bool is_active_ = false;         // counted in ConnectionContext::active_connections
   std::size_t reserved_bytes_ = 0;  // for unsent responses, without a streamed one
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -148,6 +148,14 @@
   return evbuffer_get_length(bufferevent_get_output(connection));
 }
 
+void DiscardUnwritten(bufferevent* connection) {
+  evbuffer* output = bufferevent_get_output(connection);
+  // A bufferevent freezes the front of its output buffer except during its own writes.
+  evbuffer_unfreeze(output, /*at_front=*/1);
+  evbuffer_drain(output, evbuffer_get_length(output));
+  evbuffer_freeze(output, /*at_front=*/1);
+}
+
 std::string_view Peek(bufferevent* connection, std::size_t size) {
   evbuffer* input = bufferevent_get_input(connection);
   const unsigned char* bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -88,6 +88,9 @@
 // Returns the number of bytes written to `connection` that its socket has not accepted yet.
 std::size_t Unwritten(bufferevent* connection);
 
+// Drops the bytes written to `connection` that its socket has not accepted yet.
+void DiscardUnwritten(bufferevent* connection);
+
 // Makes the first `size` bytes of the read buffer contiguous, and returns them with all bytes that follow
 // them contiguously. Returns nothing if the buffer holds fewer bytes.
 std::string_view Peek(bufferevent* connection, std::size_t size);
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -142,6 +142,9 @@
   void ReadReply();
   bool OnPartialReply(std::string_view bytes);
   void OnReply(const resp::Reply& reply);
+  // Returns whether the upstream has ended the connection, and less than a reply with this value can still be
+  // read. `skipped` bytes of the reply before the value have been read.
+  [[nodiscard]] bool IsCutOff(const resp::LargeValue& large, std::size_t skipped) const;
   bool BeginStream(const resp::LargeValue& large);
   void ForwardValue();
   void OnValueForwarded();
@@ -164,6 +167,7 @@
   Timer timer_;
   State state_ = State::kConnecting;
   UpstreamAttempt attempt_;
+  resp::LargeValue large_value_;  // the streamed value
   ValueStream stream_;
   bool is_stream_paused_ = false;    // the client has no capacity
   bool is_upstream_closed_ = false;  // the upstream has closed the connection that streams a value
--- a/src/net/upstream/upstream_connection_reply.cpp
+++ b/src/net/upstream/upstream_connection_reply.cpp
@@ -21,6 +21,8 @@
 constexpr int kStreamKernelBytes = 64 * 1024;
 // The parts of a reply beside its value, and its framing.
 constexpr std::size_t kReplyOverheadBytes = std::size_t{8} * 1024;
+// A part of a reply has at least its type and a line end.
+constexpr std::size_t kMinPartBytes = 3;
 
 }  // namespace
 
@@ -112,8 +114,18 @@
 
 // ---- Streaming a large value
 
+bool UpstreamConnection::IsCutOff(const resp::LargeValue& large, std::size_t skipped) const {
+  if (!is_upstream_closed_ && !HungUp(connection_.get())) return false;
+  const std::size_t needed = large.at + large.size + large.rest * kMinPartBytes;
+  return skipped + ReadSize(connection_.get()) + UnreadBytes(connection_.get()) < needed;
+}
+
 // Returns whether the value is streamed or the connection is closed. Otherwise the value is buffered.
 bool UpstreamConnection::BeginStream(const resp::LargeValue& large) {
+  if (IsCutOff(large, /*skipped=*/0)) {
+    OnDisconnected();  // reported as a reset, so that the request can be retried
+    return true;
+  }
   const auto handling = context_.listener.OnLargeValue({.request = attempt_.key.request,
                                                         .attempt = attempt_.key.attempt,
                                                         .upstream = upstream_.name,
@@ -127,6 +139,7 @@
   ReleaseReply();
   SetKernelBufferSize(connection_.get(), SO_RCVBUF, kStreamKernelBytes);
   Consume(connection_.get(), large.at);
+  large_value_ = large;
   stream_.Begin(large);
   Transition(State::kStreamingValue);
   ForwardValue();
@@ -134,6 +147,11 @@
 }
 
 void UpstreamConnection::ForwardValue() {
+  // The upstream may have broken off while the value waited behind other responses. Once a byte of it has
+  // left, the client could not get another response in its place.
+  if (!stream_.HasBegun() && IsCutOff(large_value_, /*skipped=*/large_value_.at)) {
+    return Close(AttemptResult::kReset);
+  }
   switch (stream_.Forward(connection_.get(), attempt_.key.request, context_.listener)) {
     case ValueStream::Progress::kNeedsInput:
       if (is_upstream_closed_) return Close(AttemptResult::kReset);
--- a/src/net/upstream/value_stream.cpp
+++ b/src/net/upstream/value_stream.cpp
@@ -17,7 +17,8 @@
 void ValueStream::Begin(const resp::LargeValue& value) {
   if (!end_) end_.reset(evbuffer_new());
   if (!end_) throw std::bad_alloc();
-  body_left_ = value.size - kEndSize;
+  body_size_ = value.size - kEndSize;
+  body_left_ = body_size_;
   end_left_ = kEndSize;
   trailing_parts_ = resp::TrailingParts(value.rest);
 }
--- a/src/net/upstream/value_stream.h
+++ b/src/net/upstream/value_stream.h
@@ -28,6 +28,9 @@
   // Reads the bytes that have arrived, and forwards those of the value as far as the client has capacity.
   Progress Forward(bufferevent* connection, RequestId request, AttemptListener& listener);
 
+  // Returns whether bytes of the value have been forwarded.
+  [[nodiscard]] bool HasBegun() const { return body_left_ < body_size_; }
+
  private:
   using Buffer = std::unique_ptr<evbuffer, HandleDeleter<evbuffer_free>>;
 
@@ -37,6 +40,7 @@
   Progress ReadEnd(bufferevent* connection);
   Progress ReadTrailingParts(bufferevent* connection);
 
+  std::size_t body_size_ = 0;
   std::size_t body_left_ = 0;  // bytes that are still to be forwarded before the end of the value
   std::size_t end_left_ = 0;   // bytes of the value's end that are still to be forwarded
   Buffer end_;                 // the end of the value once it has arrived; it is held back
--- a/tests/partners/peer.h
+++ b/tests/partners/peer.h
@@ -114,6 +114,7 @@
   // Returns whether bytes or a close can be read now, or within `wait_ms`.
   bool HasMore(int wait_ms = 0) { return !buffer_.empty() || Readable(socket_.fd(), wait_ms); }
   void Close() { socket_.Close(); }
+  [[nodiscard]] int fd() const { return socket_.fd(); }
 
  private:
   bool Fill() {
