--- a/src/model/upstream.h
+++ b/src/model/upstream.h
@@ -10,6 +10,8 @@
 
 enum class UpstreamState { kReady, kDraining, kRemoved };
 
+// An entry with the state kRemoved states nothing but the name of the upstream; its other members may be
+// unset.
 struct Upstream {
   std::string name;
   std::string zone;
--- a/src/net/upstream/upstream_pool.cpp
+++ b/src/net/upstream/upstream_pool.cpp
@@ -59,16 +59,14 @@
   std::vector<PooledUpstream*> replaced;
   for (const config::Endpoint& entry : endpoint_list.entries) {
     PooledUpstream& upstream = FindOrAdd(entry.upstream.name);
-    const bool has_new_address = !(upstream.address == entry.address) && entry.address.size() > 0;
-    // After a restart or a change of address, the old connections lead to the former process.
-    if (has_new_address || upstream.started != entry.upstream.started) {
+    upstream.state = entry.upstream.state;
+    if (upstream.state == UpstreamState::kRemoved) continue;
+    if (!upstream.IsSameProcess(entry)) {
       ++upstream.incarnation;
       CloseIdleConnections(upstream);
       replaced.push_back(&upstream);
     }
-    if (has_new_address) upstream.address = entry.address;
-    upstream.started = entry.upstream.started;
-    upstream.state = entry.upstream.state;
+    upstream.SetProcess(entry);
   }
   std::vector<PooledUpstream*> not_ready;
   for (auto& [name, upstream] : upstreams_) {
--- a/src/planner/start_times.cpp
+++ b/src/planner/start_times.cpp
@@ -16,13 +16,18 @@
     for (auto& [name, start] : starts_) start.is_in_list = false;
   }
   for (Upstream& upstream : report.upstreams) {
+    if (upstream.state == UpstreamState::kRemoved) {
+      const auto known = starts_.find(upstream.name);
+      if (known != starts_.end()) known->second.is_in_list = false;
+      continue;
+    }
     const auto [found, is_new] = starts_.try_emplace(upstream.name);
     StartRecord& start = found->second;
     if (is_new || start.reported != upstream.started) {
       start.reported = upstream.started;
       start.estimate = Estimate(upstream.started, now);
     }
-    start.is_in_list = upstream.state != UpstreamState::kRemoved;
+    start.is_in_list = true;
     upstream.started = std::chrono::floor<std::chrono::milliseconds>(start.estimate);
   }
   // A persisted list does not state when it was valid.
--- a/src/policy/controller.cpp
+++ b/src/policy/controller.cpp
@@ -198,19 +198,22 @@
   load_.OnAttemptStarted(now);
   quota_.OnAttemptStarted(request);
   request.stage = RequestStage::kInFlight;
-  request.attempts.push_back(Attempt{.upstream = upstream->info.id, .sent = now});
-  context_.Emit(Send{request.id, upstream->info.id, request.deadline - now, request.RetryableUntil() - now});
+  const EndpointInfo& info = upstream->info;
+  request.attempts.push_back(
+      Attempt{.target = {.upstream = info.id, .zone = info.zone, .cell = info.cell, .started = info.started},
+              .sent = now});
+  context_.Emit(Send{request.id, info.id, request.deadline - now, request.RetryableUntil() - now});
   context_.Emit(SetTimer{retries_.StuckTimeout(request), TimerToken(TimerKind::kStuckAttempt, request.id)});
   context_.Emit(
       SetTimer{request.Class().latency_objective, TimerToken(TimerKind::kObjectivePassed, request.id)});
 }
 
 void Controller::Impl::OnEvent(const OutcomeEvent& event) {
-  selector_.OnAttemptFinished(event);
   RequestState* request = context_.FindRequest(event.id);
-  if (request == nullptr) return;
   const auto index = static_cast<std::size_t>(std::max(0, event.attempt));
-  if (index >= request->attempts.size() || !request->attempts[index].open) return;
+  const bool is_known = request != nullptr && index < request->attempts.size();
+  selector_.OnAttemptFinished(event, is_known ? &request->attempts[index] : nullptr);
+  if (!is_known || !request->attempts[index].open) return;
   Attempt& attempt = request->attempts[index];
   attempt.open = false;
   attempt.may_have_run = event.outcome != Outcome::kRejected && event.outcome != Outcome::kConnectFailed &&
--- a/src/policy/request_state.h
+++ b/src/policy/request_state.h
@@ -12,8 +12,17 @@
 
 namespace postspread::policy {
 
-struct Attempt {
+// What an attempt was sent to, as the endpoint list had it at that time. Later lists don't change it: the
+// upstream may be removed, or its name may stand for another process in another zone or cell.
+struct AttemptTarget {
   std::string upstream;
+  std::string zone;
+  std::int64_t cell = 0;
+  TimePoint started{0};  // tells the incarnations of the upstream apart
+};
+
+struct Attempt {
+  AttemptTarget target;
   TimePoint sent{0};
   bool open = true;
   bool may_have_run = true;
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -36,8 +36,9 @@
   const double max_pressure = settings.hedging_allowed ? kSparePressure : kTargetPressure;
   if (admission_.Pressure(request.Class()) > max_pressure) return StuckAction::kWait;
   const Attempt& last = request.attempts.back();
-  const Upstream* upstream = upstreams_.Find(last.upstream);
-  const bool is_stuck = upstream == nullptr || upstream->last_response <= last.sent;
+  const Upstream* upstream = upstreams_.Find(last.target.upstream);
+  const bool is_stuck =
+      upstream == nullptr || !upstream->IsIncarnationOf(last.target) || upstream->last_response <= last.sent;
   const bool may_hedge_or_retry = request.Class().retry_safety != RetrySafety::kNotIdempotent &&
                                   (settings.hedging_allowed || settings.can_cancel) &&
                                   !request.retries_after_cancel;
--- a/src/policy/upstream.h
+++ b/src/policy/upstream.h
@@ -2,6 +2,7 @@
 #ifndef POSTSPREAD_POLICY_UPSTREAM_H_
 #define POSTSPREAD_POLICY_UPSTREAM_H_
 
+#include "policy/request_state.h"
 #include "postspread/control.h"
 #include "statistics/float_seconds.h"
 
@@ -31,6 +32,10 @@
   TimePoint ejected_until{0};
   TimePoint readmitted_at{0};  // the end of the last ejection, when slow start begins
 
+  // Returns whether an attempt at `target` went to the present process.
+  [[nodiscard]] bool IsIncarnationOf(const AttemptTarget& target) const {
+    return info.id == target.upstream && info.started == target.started;
+  }
   [[nodiscard]] bool IsEjected(TimePoint now) const { return now < ejected_until; }
   [[nodiscard]] bool IsAvoided(TimePoint now) const {
     return info.state != EndpointState::kUp || IsEjected(now);
--- a/src/policy/upstream_selector.cpp
+++ b/src/policy/upstream_selector.cpp
@@ -23,8 +23,9 @@
 constexpr double kMinTotalWeight = 1e-3;
 
 bool WasSentTo(const RequestState& request, const Upstream& upstream) {
-  return std::any_of(request.attempts.begin(), request.attempts.end(),
-                     [&upstream](const Attempt& attempt) { return attempt.upstream == upstream.info.id; });
+  return std::any_of(request.attempts.begin(), request.attempts.end(), [&upstream](const Attempt& attempt) {
+    return attempt.target.upstream == upstream.info.id;
+  });
 }
 
 bool IsEndedByGateway(Outcome outcome) {
@@ -105,8 +106,7 @@
   for (const Attempt& attempt : request.attempts) {
     if (!attempt.may_have_run || rules.retry_safety == RetrySafety::kIdempotent) continue;
     if (rules.retry_safety == RetrySafety::kNotIdempotent) return false;
-    const Upstream* before = std::as_const(upstreams_).Find(attempt.upstream);
-    if (before == nullptr || !in_scope(before->info.zone, before->info.cell)) return false;
+    if (!in_scope(attempt.target.zone, attempt.target.cell)) return false;
   }
   return true;
 }
@@ -133,10 +133,12 @@
   ++upstream.in_flight;
 }
 
-void UpstreamSelector::OnAttemptFinished(const OutcomeEvent& event) {
+void UpstreamSelector::OnAttemptFinished(const OutcomeEvent& event, const Attempt* attempt) {
   Upstream* upstream = upstreams_.Find(event.upstream);
   if (upstream == nullptr) return;
   upstream->in_flight = std::max(0, upstream->in_flight - 1);
+  // What a former process has done says nothing about the present one.
+  if (attempt != nullptr && !upstream->IsIncarnationOf(attempt->target)) return;
   const bool good = event.outcome == Outcome::kOk;
   if (good || event.outcome == Outcome::kError || event.outcome == Outcome::kRejected) {
     upstream->last_response = context_.now();
--- a/src/policy/upstream_selector.h
+++ b/src/policy/upstream_selector.h
@@ -32,7 +32,8 @@
   [[nodiscard]] Upstream* Select(const RequestState& request);
 
   void OnAttemptStarted(Upstream& upstream) const;
-  void OnAttemptFinished(const OutcomeEvent& event);
+  // `attempt` is null if it is not known any more.
+  void OnAttemptFinished(const OutcomeEvent& event, const Attempt* attempt);
 
  private:
   enum class Candidates { kPreferred, kAny };
--- a/src/policy/upstream_set.cpp
+++ b/src/policy/upstream_set.cpp
@@ -11,17 +11,28 @@
     for (auto& [id, upstream] : upstreams_) upstream.in_endpoint_list = false;
   }
   for (const EndpointInfo& info : *event.upstreams) {
+    if (info.state == EndpointState::kRemoved) {
+      Remove(info.id);
+      continue;
+    }
     Upstream& upstream = upstreams_[info.id];
     // The upstream has a new process, so the state of the old one is discarded.
     if (info.started != upstream.info.started) {
       upstream = Upstream{.in_flight = upstream.in_flight, .waiting_since = context_.now()};
     }
     upstream.info = info;
-    upstream.in_endpoint_list = info.state != EndpointState::kRemoved;
+    upstream.in_endpoint_list = true;
   }
   Refresh();
 }
 
+void UpstreamSet::Remove(const std::string& id) {
+  Upstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->info.state = EndpointState::kRemoved;
+  upstream->in_endpoint_list = false;
+}
+
 void UpstreamSet::RunMaintenance() {
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
     const bool forget = !it->second.in_endpoint_list && it->second.in_flight == 0;
--- a/src/policy/upstream_set.h
+++ b/src/policy/upstream_set.h
@@ -29,6 +29,8 @@
   [[nodiscard]] Controller::UpstreamCounts Count(TimePoint now) const;
 
  private:
+  // Takes an upstream out of the list. The entry that removes it states nothing but its id.
+  void Remove(const std::string& id);
   void Refresh();
 
   const DecisionContext& context_;
--- a/tests/net/upstream/upstream_pool_test.cpp
+++ b/tests/net/upstream/upstream_pool_test.cpp
@@ -129,7 +129,9 @@
 }
 
 TEST_CASE("when an upstream has moved or restarted, then no new request is sent to its former process") {
-  const bool has_moved = GENERATE(true, false);
+  const std::string_view changed = GENERATE("address", "since_ms", "group", "zone");
+  INFO(changed);
+  const bool has_moved = changed == "address";
   Site site(1, NoQuota());
   site.Start(1);
   Peer client = site.Client();
@@ -140,7 +142,9 @@
   const Port& listed = has_moved ? other : site.upstream(0);
   site.Publish(Site::List(false, {{{"name", "s-0"},
                                    {"address", listed.address()},
-                                   {"since_ms", has_moved ? 0 : 1'700'000'000'000},
+                                   {"since_ms", changed == "since_ms" ? 1'700'000'000'000 : 0},
+                                   {"group", changed == "group" ? 1 : 0},
+                                   {"zone", changed == "zone" ? "b" : ""},
                                    {"status", "Ready"}}}));
   site.watch().Until("\r\n\r\n");  // the next poll shows that the list is applied
   old.Send(kValue);
@@ -334,5 +338,43 @@
   CHECK(site.upstream(0).Accept().Command().at(2) == "two");
 }
 
+// Guards against a change under a key that was applied again in another cell: the entry that displaces an
+// upstream does not state its zone and cell.
+TEST_CASE(
+    "given an upstream that is displaced at its address, when its request is retried, then it stays in the "
+    "scope of the key") {
+  const auto* const scope = GENERATE("cell", "zone");
+  INFO(scope);
+  json changes = NoQuota();
+  changes["settings"]["Classes"] = {{{"Name", "change"},
+                                     {"Aim", 2'000'000},
+                                     {"HardLimit", 4'000'000},
+                                     {"Effect", "keyed"},
+                                     {"DedupScope", scope},
+                                     {"KeyTtl", 15'000'000}}};
+  Site site(1, changes);
+  const auto entry = [](const Port& port, const char* name, int cell, const char* zone) {
+    return json{
+        {"name", name}, {"address", port.address()}, {"status", "Ready"}, {"group", cell}, {"zone", zone}};
+  };
+  Port other;
+  site.Start(0, json::array({entry(site.upstream(0), "s-old", 1, "b")}));
+  Peer client = site.Client();
+  client.Send(Command({"API.WRITE", "0000000000000001", "one",
+                       "c=change,t=team,d=3000,k=00000000000000aa,units=1,spread=2,first=0", "body"}));
+  Peer old_process = site.upstream(0).Accept();
+  CHECK(old_process.Command().at(2) == "one");  // executed, and not answered
+  Site::Publish(site.watch(), Site::List(false, json::array({entry(other, "s-other", 0, ""),
+                                                             entry(site.upstream(0), "s-new", 1, "b")})));
+  site.watch().Until("\r\n\r\n");
+  site.Ping();
+  old_process.Reset();
+  Peer replacement = site.upstream(0).Accept();
+  CHECK(replacement.Command().at(2) == "one");
+  replacement.Send(kValue);
+  CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
+  CHECK_FALSE(other.HasPendingConnection());
+}
+
 }  // namespace
 }  // namespace postspread
--- a/tests/planner/start_times_test.cpp
+++ b/tests/planner/start_times_test.cpp
@@ -60,10 +60,10 @@
 TEST_CASE(
     "when a removed upstream is listed again, its estimate stays for the same start and changes for a new "
     "one") {
+  const milliseconds stated_at_removal = GENERATE(milliseconds(kNow - seconds(30)), milliseconds(0));
   StartTimes starts;
   const microseconds first = Estimate(starts, EndpointUpdateKind::kSnapshot, kNow - seconds(30), kNow);
-  EndpointListReport removal =
-      List(EndpointUpdateKind::kChanges, kNow - seconds(30), UpstreamState::kRemoved);
+  EndpointListReport removal = List(EndpointUpdateKind::kChanges, stated_at_removal, UpstreamState::kRemoved);
   starts.Apply(removal, kNow + seconds(1));
   CHECK(Estimate(starts, EndpointUpdateKind::kChanges, kNow - seconds(30), kNow + seconds(60)) == first);
   // A different start is a restart, even if it looks older.
--- a/tests/policy/upstream_selector_test.cpp
+++ b/tests/policy/upstream_selector_test.cpp
@@ -1,7 +1,9 @@
 // Tests the selection of the upstream for an attempt.
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "test_gateway.h"
 
@@ -24,6 +26,111 @@
   EXPECT_TRUE(gateway.rejects.empty());
 }
 
+// What the endpoint list does to the upstream of an attempt whose request is then retried.
+enum class ListChange { kRemovedByName, kMovedToOtherGroup, kLeftOutOfSnapshot };
+
+struct ScopeCase {
+  KeyScope scope;
+  ListChange change;
+};
+
+// Guards against a change under a key that was applied again in another cell or zone: the retry was sent by
+// what the list said of the upstream at the time of the retry.
+class KeyScopeAfterListChange : public testing::TestWithParam<ScopeCase> {
+ protected:
+  static EndpointInfo Endpoint(const std::string& id) {
+    const bool is_first_group = id == "s1" || id == "s3";
+    EndpointInfo info;
+    info.id = id;
+    info.zone = is_first_group ? "a" : "b";
+    info.cell = is_first_group ? 1 : 0;
+    return info;
+  }
+  static Settings KeyedSettings() {
+    Settings settings = SettingsWithoutQuota();
+    settings.classes[2].scope = GetParam().scope;
+    return settings;
+  }
+  void ChangeList(const std::string& id) {
+    EndpointInfo changed;
+    changed.id = id;
+    switch (GetParam().change) {
+      case ListChange::kRemovedByName:
+        changed.state = EndpointState::kRemoved;
+        break;
+      case ListChange::kMovedToOtherGroup:
+        changed = Endpoint(Endpoint(id).cell == 1 ? "s2" : "s1");
+        changed.id = id;
+        changed.started = gateway_.now;
+        break;
+      case ListChange::kLeftOutOfSnapshot: {
+        std::vector<EndpointInfo> others = all_;
+        std::erase_if(others, [&id](const EndpointInfo& info) { return info.id == id; });
+        gateway_.SetEndpointList(others);
+        return;
+      }
+    }
+    gateway_.Handle(EndpointListEvent{EndpointListKind::kPartial, 2,
+                                      std::make_shared<const std::vector<EndpointInfo>>(1, changed)});
+  }
+
+  TestGateway gateway_{KeyedSettings()};
+  std::vector<EndpointInfo> all_{Endpoint("s1"), Endpoint("s2"), Endpoint("s3"), Endpoint("s4")};
+};
+
+INSTANTIATE_TEST_SUITE_P(ScopesAndChanges, KeyScopeAfterListChange,
+                         testing::Values(ScopeCase{KeyScope::kCell, ListChange::kRemovedByName},
+                                         ScopeCase{KeyScope::kZone, ListChange::kRemovedByName},
+                                         ScopeCase{KeyScope::kCell, ListChange::kMovedToOtherGroup},
+                                         ScopeCase{KeyScope::kZone, ListChange::kMovedToOtherGroup},
+                                         ScopeCase{KeyScope::kCell, ListChange::kLeftOutOfSnapshot},
+                                         ScopeCase{KeyScope::kZone, ListChange::kLeftOutOfSnapshot}));
+
+TEST_P(KeyScopeAfterListChange, GivenARequestThatMayHaveRunThenItsRetryGoesToTheGroupOfItsAttempt) {
+  for (RequestId id = 1; id <= 8; ++id) {
+    gateway_.SetEndpointList(all_);
+    const std::size_t first = gateway_.sends.size();
+    gateway_.AddRequest(id, 0, {.class_name = kKeyed});
+    ASSERT_EQ(gateway_.sends.size(), first + 1);
+    ChangeList(gateway_.sends[first].upstream);
+    gateway_.FinishAttempt(first, Outcome::kReset);
+    ASSERT_EQ(gateway_.sends.size(), first + 2);
+    EXPECT_EQ(Endpoint(gateway_.sends[first].upstream).cell,
+              Endpoint(gateway_.sends[first + 1].upstream).cell);
+    EXPECT_NE(gateway_.sends[first].upstream, gateway_.sends[first + 1].upstream);
+    gateway_.FinishAttempt(first + 1, Outcome::kOk, {.attempt = 1});
+  }
+}
+
+TEST_P(KeyScopeAfterListChange, GivenAnUpstreamThatIsForgottenThenItsAttemptStillBindsTheNextRetry) {
+  gateway_.SetEndpointList(all_);
+  gateway_.AddRequest(1, 0, {.class_name = kKeyed});
+  gateway_.FinishAttempt(0, Outcome::kReset);
+  ASSERT_EQ(gateway_.sends.size(), 2U);
+  ChangeList(gateway_.sends[0].upstream);
+  gateway_.Advance(milliseconds(150));  // the maintenance forgets upstreams that are not listed
+  gateway_.FinishAttempt(1, Outcome::kReset, {.attempt = 1});
+  ASSERT_EQ(gateway_.sends.size(), 3U);
+  EXPECT_EQ(gateway_.sends[2].upstream, gateway_.sends[1].upstream);
+}
+
+TEST(UpstreamSelector, GivenAnUpstreamThatHasRestartedWhenItsFormerAttemptsFailThenItIsNotEjected) {
+  TestGateway gateway(SettingsWithoutQuota());
+  EndpointInfo endpoint;
+  endpoint.id = "s1";
+  endpoint.zone = "a";
+  gateway.SetEndpointList({endpoint});
+  for (RequestId id = 1; id <= 20; ++id) gateway.AddRequest(id, 0, {.class_name = kNonIdempotent});
+  const std::size_t count = gateway.sends.size();
+  ASSERT_EQ(count, 20U);
+  endpoint.started = gateway.now;
+  EndpointInfo other = endpoint;
+  other.id = "s2";
+  gateway.SetEndpointList({endpoint, other});
+  for (std::size_t i = 0; i < count; ++i) gateway.FinishAttempt(i, Outcome::kReset);
+  EXPECT_EQ(gateway.controller().Count(gateway.now).avoided, 0U);
+}
+
 TEST(UpstreamSelector, GivenOnlyDrainingUpstreamsWhenARequestArrivesThenNothingIsSent) {
   TestGateway gateway;
   gateway.SetUpstreams({{"s1", "a"}, {"s2", "b"}}, EndpointState::kDraining);
