--- a/tests/partners/slow_port.h
+++ b/tests/partners/slow_port.h
@@ -11,7 +11,10 @@
 
 class SlowPort {
  public:
-  SlowPort() : filler_(Connect(port_.number())) {}
+  SlowPort() : filler_(Connect(port_.number())) {
+    // The connect returns before the queue is full, if the system delays the last segment of the handshake.
+    if (!Readable(port_.fd())) FAIL("the queue of the port does not fill");
+  }
   [[nodiscard]] std::string address() const { return port_.address(); }
   Port& port() { return port_; }
   // Waits until at least `count` connects are pending. Their first SYNs have been dropped or are about to be.
