--- a/src/net/gateway/request_dispatcher.h
+++ b/src/net/gateway/request_dispatcher.h
@@ -20,12 +20,12 @@
 
 namespace postspread::net {
 
+// Stands for a request that was rejected before the planner assigned an id; the planner never assigns 0.
+inline constexpr RequestId kNoRequest = 0;
+
 // Admits requests, asks the planner for decisions, starts delivery attempts and sends final responses. A
 // request ends when it is released from the requests in flight. The code that releases it sends its final
 // response, so that each request gets exactly one.
-// This stands for a request that was rejected before the planner assigned an id; the planner never assigns 0.
-inline constexpr RequestId kNoRequest = 0;
-
 class RequestDispatcher final : public RequestHandler, public AttemptListener {
  public:
   struct Collaborators {
