--- a/src/net/downstream/command_reader.cpp
+++ b/src/net/downstream/command_reader.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "flow/memory_costs.h"
+#include "model/release_storage.h"
 
 namespace postspread::net {
 namespace {
@@ -103,7 +104,7 @@
   const std::size_t collected = message_.size();
   skip_bytes_ = std::exchange(needed_bytes_, 0) - collected;
   arrivals_.Consume(collected);
-  message_ = {};
+  ReleaseStorage(message_);
   waited_ = {};
   CancelReservation();
   SetCapacity(read_ahead_);
@@ -124,7 +125,7 @@
 void CommandReader::Consume() {
   const bool is_large = command_.size > resp::kMaxHead;
   if (is_large) {
-    message_ = {};
+    ReleaseStorage(message_);
   } else {
     net::Consume(connection_, command_.size);
   }
@@ -195,7 +196,7 @@
 
 void CommandReader::DiscardAll() {
   net::Consume(connection_, ReadSize(connection_));
-  message_ = {};
+  ReleaseStorage(message_);
   needed_bytes_ = 0;
   skip_bytes_ = 0;
   arrivals_.Consume(arrivals_.size());
