An attempt that waits to send gives up the message of a request that has ended

The owner of the reservation, InFlightRequests, is not the last owner of the bytes.

Change: when a request is released, each of its attempts in flight discards what it has not written (UpstreamPool::DiscardMessage).

--- a/src/net/gateway/request_dispatcher.cpp
+++ b/src/net/gateway/request_dispatcher.cpp
@@ -38,7 +38,9 @@
 
 std::optional<InFlightRequest> RequestDispatcher::Release(RequestId id) {
   std::optional<InFlightRequest> released = in_flight_.Release(id);
-  if (!released || released->claimed_id_hash == 0) return released;
+  if (!released) return released;
+  DiscardMessages(id, *released);
+  if (released->claimed_id_hash == 0) return released;
   const bool may_have_run = std::any_of(
       released->attempts.begin(), released->attempts.end(),
       [](const safety::EarlierAttempt& attempt) { return attempt.in_flight || attempt.may_have_run; });
@@ -46,6 +48,15 @@
   return released;
 }
 
+// The reservation of the message has been released. An attempt that still waits to send would keep the
+// message until its connection is established, writable or given up.
+void RequestDispatcher::DiscardMessages(RequestId id, const InFlightRequest& request) {
+  for (std::size_t attempt = 0; attempt < request.attempts.size(); ++attempt) {
+    if (!request.attempts[attempt].in_flight) continue;
+    pool_.DiscardMessage({id, static_cast<AttemptNumber>(attempt)});
+  }
+}
+
 RequestId RequestDispatcher::HandleRequest(const Request& request, resp::EncodedRequest encoded,
                                            ResponseWriter& writer, ResponseWriter::Slot slot) {
   const auto now = Clock::now();
--- a/src/net/gateway/request_dispatcher.h
+++ b/src/net/gateway/request_dispatcher.h
@@ -83,6 +83,7 @@
   void RecordAttemptEnd(const planner::AttemptReport& report);
   // Releases a request from those in flight, and withdraws its claim if it surely never ran.
   std::optional<InFlightRequest> Release(RequestId id);
+  void DiscardMessages(RequestId id, const InFlightRequest& request);
   void CancelPartlySent(RequestId id, const InFlightRequest& request);
   void LimitEarlierAttempts(RequestId id, const InFlightRequest& request);
 
--- a/src/net/upstream/message_writer.cpp
+++ b/src/net/upstream/message_writer.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "model/release_storage.h"
+
 namespace postspread::net {
 namespace {
 
@@ -19,6 +21,7 @@
   fd_ = fd;
   head_.clear();
   tail_ = {};
+  discarded_bytes_ = 0;
   const std::optional<std::size_t> written = WriteNow(fd, message.head);
   if (written && *written == 0) return Progress::kNothing;
   const std::size_t head_written = written.value_or(0);
@@ -31,7 +34,15 @@
 
 MessageWriter::Progress MessageWriter::Continue() { return Write(); }
 
+void MessageWriter::DiscardRest() {
+  discarded_bytes_ = remaining();
+  ReleaseStorage(head_);
+  tail_ = {};
+  owner_.reset();
+}
+
 MessageWriter::Progress MessageWriter::Write() {
+  if (discarded_bytes_ > 0) return Progress::kBroken;
   while (remaining() > 0) {
     const std::optional<std::size_t> written = WriteNow(fd_, head_.empty() ? tail_ : std::string_view(head_));
     if (!written) return Progress::kBroken;
--- a/src/net/upstream/message_writer.h
+++ b/src/net/upstream/message_writer.h
@@ -36,9 +36,11 @@
   Progress Begin(evutil_socket_t fd, const Message& message);
   // Writes more of the message. May be called only after on_writable.
   Progress Continue();
+  // Frees the rest of the message, which can't be written any more: Continue then returns kBroken.
+  void DiscardRest();
 
-  // Returns the number of bytes of the message that the socket has not accepted.
-  [[nodiscard]] std::size_t remaining() const { return head_.size() + tail_.size(); }
+  // Returns the number of bytes of the message that the socket has not accepted, discarded ones included.
+  [[nodiscard]] std::size_t remaining() const { return head_.size() + tail_.size() + discarded_bytes_; }
 
  private:
   Progress Write();
@@ -49,6 +51,7 @@
   evutil_socket_t fd_ = -1;
   std::string head_;
   std::string_view tail_;
+  std::size_t discarded_bytes_ = 0;
   std::shared_ptr<const std::string> owner_;
   EventHandle writable_;  // created when a message first has to wait
   Timer retry_;           // in place of the event, where the system reports a shortage
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -124,6 +124,11 @@
   Close(writer_.remaining() > 0 ? AttemptResult::kConnectFailed : AttemptResult::kCancelled);
 }
 
+void UpstreamConnection::DiscardMessage() {
+  attempt_.message = {};
+  writer_.DiscardRest();
+}
+
 // Neither the reply nor the connection can be used. The upstream has executed the request.
 void UpstreamConnection::CloseMalformed() {
   context_.malformed_log("upstream response is malformed", upstream_.name);
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -80,6 +80,9 @@
   // Closes the connection if bytes of its attempt have not left this machine, so that the upstream never
   // executes the attempt.
   void CloseIfPartlySent();
+  // Frees what is left to send of an attempt whose request has ended. The rules no longer allow sending it,
+  // so the attempt ends at the next check.
+  void DiscardMessage();
   // The last byte of the attempt must arrive before `arrive_by`, in addition to the earlier limit.
   void LimitArrival(Clock::time_point arrive_by);
 
--- a/src/net/upstream/upstream_pool.cpp
+++ b/src/net/upstream/upstream_pool.cpp
@@ -125,6 +125,11 @@
   if (found != attempts_.end()) found->second->CloseIfPartlySent();
 }
 
+void UpstreamPool::DiscardMessage(const AttemptKey& key) {
+  const auto found = attempts_.find(key);
+  if (found != attempts_.end()) found->second->DiscardMessage();
+}
+
 void UpstreamPool::LimitArrival(const AttemptKey& key, Clock::time_point arrive_by) {
   const auto found = attempts_.find(key);
   if (found != attempts_.end()) found->second->LimitArrival(arrive_by);
--- a/src/net/upstream/upstream_pool.h
+++ b/src/net/upstream/upstream_pool.h
@@ -52,6 +52,8 @@
   void CancelAttempt(const AttemptKey& key);
   // Ends an attempt of which bytes have not left this machine, and does nothing to any other.
   void CancelIfPartlySent(const AttemptKey& key);
+  // Frees what is left to send of an attempt whose request has ended and whose message is no longer reserved.
+  void DiscardMessage(const AttemptKey& key);
   // The last byte of an attempt that has begun must arrive before `arrive_by`.
   void LimitArrival(const AttemptKey& key, Clock::time_point arrive_by);
   // Requests the load report of an upstream.
--- a/tests/flow/resident_memory_test.cpp
+++ b/tests/flow/resident_memory_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "partners/site.h"
+#include "partners/slow_port.h"
 
 namespace postspread {
 namespace {
@@ -196,5 +197,24 @@
   CHECK(observer.Excess() < kMaxUnreserved);
 }
 
+// Guards against requests whose client had left while a connect to the upstream was pending: the attempt kept
+// the message after its reservation had been released.
+TEST_CASE("given clients that leave before their large requests are sent, no message stays resident") {
+  SlowPort slow;
+  json changes = Changes(32);
+  changes["settings"]["Limits"] = {{"Cancelling", false}};
+  Site site(1, changes);
+  site.Start(0, json::array({{{"name", "slow"}, {"address", slow.address()}, {"status", "Ready"}}}));
+  const MemoryObserver observer(site);
+  for (int i = 0; i < 24; ++i) {
+    Peer client = site.Client();
+    SendAll(client, Write("a" + std::to_string(i), 2 * kMegabyte));
+    slow.AwaitConnects(i + 1);
+    client.Close();
+    site.Ping();
+  }
+  CHECK(observer.Excess() < kMaxUnreserved);
+}
+
 }  // namespace
 }  // namespace postspread
