The parser of discovery's responses frees the text of the last one

Cause: ResponseParser::Reset assigned a new parser, and the assignment of an empty short string keeps the storage of `body_`.

Change: Reset exchanges the parser for a new one, so that the old storage is freed, and a failed poll resets at once and not at the next connect.

--- a/src/http/response.cpp
+++ b/src/http/response.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <utility>
 
 namespace postspread::http {
 namespace {
@@ -54,6 +55,12 @@
   return used;
 }
 
+void ResponseParser::Reset() {
+  // An assignment would keep the storage of the strings.
+  ResponseParser fresh(max_body_);
+  std::swap(*this, fresh);
+}
+
 void ResponseParser::OnEndOfStream() {
   if (state_ == State::kDone) return;
   state_ = state_ == State::kUntilClose ? State::kDone : State::kMalformed;
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -33,8 +33,8 @@
   std::size_t Feed(std::string_view bytes);
   // The peer closed the connection. This completes a body without a stated length.
   void OnEndOfStream();
-  // Prepares for the next response on the same connection.
-  void Reset() { *this = ResponseParser(max_body_); }
+  // Prepares for the next response, and frees the storage of this one.
+  void Reset();
 
   [[nodiscard]] bool done() const { return state_ == State::kDone; }
   [[nodiscard]] bool broken() const { return state_ == State::kMalformed; }
--- a/src/net/upstream/discovery_watch.cpp
+++ b/src/net/upstream/discovery_watch.cpp
@@ -62,6 +62,7 @@
 
 void DiscoveryWatch::OnFailure(std::string_view reason) {
   connection_.reset();
+  parser_.Reset();
   if (!std::exchange(is_failing_, true)) Log("discovery request failed", reason);
   timer_.Arm(schedule_.OnConnectionLost());
 }
--- a/tests/flow/resident_memory_test.cpp
+++ b/tests/flow/resident_memory_test.cpp
@@ -216,5 +216,22 @@
   CHECK(observer.Excess() < kMaxUnreserved);
 }
 
+// Guards against a response of discovery whose storage stayed with the parser for the next one.
+TEST_CASE("given long lists of discovery, whether sound or malformed, none of their text stays resident") {
+  Site site(1, Changes(192));
+  site.Start(1);
+  const MemoryObserver observer(site);
+  json list = Site::List(false, json::array());
+  list["padding"] = std::string(3 * kMegabyte, 'p');
+  const bool is_malformed = GENERATE(false, true);
+  if (is_malformed) list["index"] = "none";
+  const std::string body = list.dump();
+  SendAll(site.watch(),
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  if (is_malformed) CHECK(site.watch().Ended());
+  if (!is_malformed) CHECK(site.watch().Until("\r\n\r\n").find("GET /api/targets?since=41&timeout_ms=") == 0);
+  CHECK(observer.Excess() < kMaxUnreserved);
+}
+
 }  // namespace
 }  // namespace postspread
