A message that is written in part keeps no copy of its body

What a run shows: of 256 messages of 15 KB, each written in part, the writers held 2.8 MB of copies that no part had reserved, and held them still after the last byte was written. On loopback it takes writes that the system shortens; over a network with small segments a full send buffer does.

Cause: a body of up to 16 KB is appended to the head to be written at once, and what was left of both was copied to a string whose storage stayed with the connection.

Change: the rest of the body stays a slice of the request's own message, which is reserved; only the rest of the head is copied, and freed with the last byte.

--- a/src/net/upstream/message_writer.cpp
+++ b/src/net/upstream/message_writer.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream/message_writer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <optional>
@@ -22,12 +23,14 @@
   head_.clear();
   tail_ = {};
   discarded_bytes_ = 0;
-  const std::optional<std::size_t> written = WriteNow(fd, message.head);
+  const std::optional<std::size_t> written =
+      WriteNow(fd, message.joined.empty() ? message.head : message.joined);
   if (written && *written == 0) return Progress::kNothing;
-  const std::size_t head_written = written.value_or(0);
-  if (head_written == message.head.size() && message.tail.empty()) return Progress::kWritten;
+  const std::size_t head_written = std::min(written.value_or(0), message.head.size());
+  const std::size_t tail_written = written.value_or(0) - head_written;
+  if (head_written + tail_written == message.head.size() + message.tail.size()) return Progress::kWritten;
   head_ = message.head.substr(head_written);
-  tail_ = message.tail;
+  tail_ = message.tail.substr(tail_written);
   owner_ = message.owner;
   return written ? Write() : Progress::kBroken;
 }
@@ -56,6 +59,7 @@
       head_.erase(0, *written);
     }
   }
+  ReleaseStorage(head_);
   owner_.reset();
   return Progress::kWritten;
 }
--- a/src/net/upstream/message_writer.h
+++ b/src/net/upstream/message_writer.h
@@ -25,6 +25,8 @@
     std::string_view head;    // copied if a part of it is left
     std::string_view tail{};  // a slice of `owner`, or empty
     std::shared_ptr<const std::string> owner{};
+    // A copy of both in one piece, to be written at once, or empty. Nothing of it is kept.
+    std::string_view joined{};
   };
   enum class Progress {
     kNothing,  // the socket accepts no byte now, and nothing of the message is kept
--- a/src/net/upstream/upstream_attempt.cpp
+++ b/src/net/upstream/upstream_attempt.cpp
@@ -11,7 +11,7 @@
 
 constexpr int kStallDoublingsPerAttempt = 2;
 constexpr int kMaxStallDoublings = 8;
-constexpr std::size_t kMaxCopiedTail = std::size_t{16} * 1024;  // bytes; a longer tail is sent without a copy
+constexpr std::size_t kMaxJoinedTail = std::size_t{16} * 1024;  // bytes; a longer tail is written by itself
 
 }  // namespace
 
@@ -82,16 +82,20 @@
 MessageWriter::Progress UpstreamAttempt::BeginWriting(MessageWriter& writer, evutil_socket_t fd,
                                                       std::string& buffer) {
   const std::string_view tail = message.tail();
-  const bool is_copied = tail.size() <= kMaxCopiedTail;
+  const bool is_joined = tail.size() <= kMaxJoinedTail;
   buffer.clear();
   // Reads the clock as late as possible, since the system may suspend the process at any point.
   const auto time_left = std::chrono::floor<std::chrono::microseconds>(deadline - Clock::now());
   const auto timeout = std::chrono::floor<milliseconds>(safety::TimeoutToState(time_left, message.size()));
   stated_timeout = std::max(milliseconds(1), timeout);
   message.RenderHead(std::max(milliseconds(1), timeout), buffer);
-  if (is_copied) buffer += tail;
-  return writer.Begin(
-      fd, {.head = buffer, .tail = is_copied ? std::string_view() : tail, .owner = message.text()});
+  const std::size_t head_size = buffer.size();
+  if (is_joined) buffer += tail;
+  const std::string_view written(buffer);
+  return writer.Begin(fd, {.head = written.substr(0, head_size),
+                           .tail = tail,
+                           .owner = message.text(),
+                           .joined = is_joined ? written : std::string_view()});
 }
 
 }  // namespace postspread::net
