Tests of large writes and of memory share their tools; idle clients have their own file

WriteRequest, WriteSettings and SendAll (partners/write_request.h) replace two copies of how a request with a body is built, and kHasSanitizers replaces four of the same condition. process_test.cpp, of 473 lines, gives its tests of idle and stalling clients to net/downstream/idle_client_test.cpp, where three copies of the same loop are one.

--- a/tests/fleet/crowd_test.cpp
+++ b/tests/fleet/crowd_test.cpp
@@ -5,16 +5,12 @@
 #include <algorithm>
 
 #include "fleet/habit_site.h"
+#include "partners/sanitizers.h"
 
 namespace postspread::fleet_rig {
 namespace {
 
-#if defined(__SANITIZE_ADDRESS__)
-// The sanitizers allocate memory that is not the program's.
-constexpr double kSanitizerMb = 1'024;
-#else
-constexpr double kSanitizerMb = 0;
-#endif
+constexpr double kSanitizerMb = partners::kHasSanitizers ? 1'024 : 0;
 
 struct Limits {
   int memory_mb;
@@ -87,9 +83,9 @@
   std::uint64_t seed_ = 0;
 };
 
-class CrowdedGateway {
+class OverloadedGateway {
  public:
-  CrowdedGateway(const Limits& limits, std::uint64_t seed, bool inherited = false)
+  OverloadedGateway(const Limits& limits, std::uint64_t seed, bool inherited = false)
       : limits_(limits), fixture_(ToOptions(limits, seed, inherited)), conforming_(fixture_) {
     fixture_.rig.upstreams().min_service_time = milliseconds(20);
     fixture_.rig.upstreams().value_size = CrowdValueSize;
@@ -146,7 +142,7 @@
     "and serves others") {
   const Limits limits = GENERATE(Limits{16, 1'024, 300}, Limits{32, 512, 300}, Limits{192, 1'024, 600});
   const std::uint64_t seed = 20'261'205;
-  CrowdedGateway gateway(limits, seed);
+  OverloadedGateway gateway(limits, seed);
   gateway.Run(milliseconds(3'000));
   for (int restarts = 0; restarts < 2; ++restarts) {
     gateway.Restart();
@@ -158,7 +154,7 @@
 // Guards against two processes of an upgrade that pass the limit together.
 TEST_CASE("given a crowd, when a successor takes over, then both processes together stay within the limits") {
   const Limits limits = GENERATE(Limits{16, 1'024, 200}, Limits{32, 512, 300}, Limits{192, 1'024, 400});
-  CrowdedGateway gateway(limits, /*seed=*/20'261'206, /*inherited=*/true);
+  OverloadedGateway gateway(limits, /*seed=*/20'261'206, /*inherited=*/true);
   gateway.Run(milliseconds(2'500));
   gateway.rig().StartSuccessor(0);
   gateway.Run(milliseconds(1'500));
--- a/tests/flow/process_test.cpp
+++ b/tests/flow/process_test.cpp
@@ -2,7 +2,8 @@
 #include <algorithm>
 #include <random>
 
-#include "partners/site.h"
+#include "partners/sanitizers.h"
+#include "partners/write_request.h"
 
 namespace postspread {
 namespace {
@@ -10,12 +11,7 @@
 using namespace site;
 
 constexpr std::size_t kMegabyte = 1 << 20;
-#if defined(__SANITIZE_ADDRESS__)
-// The sanitizers allocate memory that is not the program's.
-constexpr std::size_t kSanitizerBytes = 1024 * kMegabyte;
-#else
-constexpr std::size_t kSanitizerBytes = 0;
-#endif
+constexpr std::size_t kSanitizerBytes = partners::kHasSanitizers ? 1024 * kMegabyte : 0;
 
 std::string RandomBulk(std::size_t size, unsigned seed) {
   std::mt19937 random(seed);
@@ -141,8 +137,7 @@
   std::vector<Peer> clients;
   std::vector<std::size_t> sent(kClients, 0);
   const auto command = [&body](std::size_t i) {
-    return Command({"API.WRITE", "0000000000000001", "w" + std::to_string(i),
-                    "c=order,t=team,d=60000,units=1,spread=2,first=0", body});
+    return WriteRequest{.id = "w" + std::to_string(i), .body_size = body.size()}.Encode();
   };
   for (std::size_t i = 0; i < kClients; ++i) clients.push_back(site.Client());
   const auto write_all = [&] {
@@ -232,30 +227,14 @@
 
 // A site with 8 MB for large requests and a class that is not idempotent.
 struct LargeWriteSite {
-  LargeWriteSite() : site(1, Changes()) { site.Start(1); }
-  static json Changes() {
-    json out = NoQuota();
-    out["limits"] = {{"memory_mb", 32}, {"sockets", 256}};
-    out["settings"]["Classes"] = {
-        {{"Name", "order"}, {"Aim", 60'000'000}, {"HardLimit", 60'000'000}, {"Effect", "unsafe"}}};
-    return out;
-  }
-  static std::string Head(std::string_view id, int timeout_ms, std::size_t body) {
-    std::string out = "*5\r\n";
-    resp::AppendBulk("API.WRITE", out);
-    resp::AppendBulk("0000000000000001", out);
-    resp::AppendBulk(id, out);
-    resp::AppendBulk("c=order,t=team,d=" + std::to_string(timeout_ms) + ",units=1,spread=2,first=0", out);
-    return out + "$" + std::to_string(body) + "\r\n";
-  }
-  static std::string Write(std::string_view id, int timeout_ms, std::size_t body) {
-    return Head(id, timeout_ms, body) + std::string(body, 'b') + "\r\n";
-  }
+  LargeWriteSite() : site(1, WriteSettings(/*memory_mb=*/32, /*sockets=*/256)) { site.Start(1); }
   // Fills the memory with requests that an upstream does not answer.
   void FillMemory() {
     for (int i = 0; i < 2; ++i) {
       clients.push_back(site.Client());
-      clients.back().Send(Write("fill" + std::to_string(i), 60'000, 4'150'000));
+      clients.back().Send(
+          WriteRequest{.id = "fill" + std::to_string(i), .body_size = 4'150'000, .timeout_ms = 60'000}
+              .Encode());
       upstreams.push_back(site.upstream(0).Accept());
       upstreams.back().Command();
     }
@@ -271,12 +250,13 @@
   std::vector<Peer> stopped;
   for (int i = 0; i < 30; ++i) {
     stopped.push_back(fixture.site.Client());
-    stopped.back().Send(LargeWriteSite::Head("bad" + std::to_string(i), 8'000, 4'000'000) +
-                        std::string(100'000, 'x'));
+    stopped.back().Send(
+        WriteRequest{.id = "bad" + std::to_string(i), .body_size = 4'000'000, .timeout_ms = 8'000}.Head() +
+        std::string(100'000, 'x'));
   }
   fixture.site.Ping();
   Peer client = fixture.site.Client();
-  client.Send(LargeWriteSite::Write("one", 8'000, 110'000));
+  client.Send(WriteRequest{.id = "one", .body_size = 110'000, .timeout_ms = 8'000}.Encode());
   Peer upstream = fixture.site.upstream(0).Accept();
   CHECK(upstream.Command().at(2) == "one");
   // It did not have to wait until the others were given up.
@@ -292,13 +272,14 @@
   fixture.FillMemory();
   Peer client = fixture.site.Client();
   const auto sent_at = std::chrono::steady_clock::now();
-  client.Send(LargeWriteSite::Write("one", 1'000, 200'000) + Command({"PING"}));
+  client.Send(WriteRequest{.id = "one", .body_size = 200'000, .timeout_ms = 1'000}.Encode() +
+              Command({"PING"}));
   CHECK(client.Line() == "-BUSY\r\n");
   CHECK(std::chrono::steady_clock::now() - sent_at < std::chrono::milliseconds(1'000 + 500));
   CHECK(client.Line() == "+PONG\r\n");  // the connection goes on behind the request that was not read
   for (Peer& upstream : fixture.upstreams) upstream.Send(kValue);
   for (Peer& filler : fixture.clients) CHECK(filler.Until("hi\r\n") == "$2\r\nhi\r\n");
-  client.Send(LargeWriteSite::Write("two", 8'000, 200'000));
+  client.Send(WriteRequest{.id = "two", .body_size = 200'000, .timeout_ms = 8'000}.Encode());
   CHECK(fixture.upstreams.back().Command().at(2) == "two");
 }
 
@@ -308,7 +289,8 @@
   fixture.FillMemory();
   Peer client = fixture.site.Client();
   const auto sent_at = std::chrono::steady_clock::now();
-  client.Send(LargeWriteSite::Head("one", 60'000, 4'000'000) + std::string(100'000, 'x'));
+  client.Send(WriteRequest{.id = "one", .body_size = 4'000'000, .timeout_ms = 60'000}.Head() +
+              std::string(100'000, 'x'));
   CHECK(client.Line() == "-BUSY\r\n");
   CHECK(std::chrono::steady_clock::now() - sent_at < std::chrono::seconds(3));
 }
--- a/tests/net/upstream/message_writer_test.cpp
+++ b/tests/net/upstream/message_writer_test.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <memory>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "net/process_memory.h"
+#include "partners/sanitizers.h"
 
 namespace postspread::net {
 namespace {
@@ -56,13 +58,9 @@
 }
 
 // Returns by how much the resident memory has grown beyond `before`.
-std::size_t Growth([[maybe_unused]] std::size_t before) {
-#if defined(__SANITIZE_ADDRESS__)
-  return 0;  // the sanitizer keeps memory that the program has freed
-#else
+std::size_t Growth(std::size_t before) {
   const std::size_t now = ResidentBytes();
-  return now > before ? now - before : 0;
-#endif
+  return partners::kHasSanitizers ? 0 : now - std::min(now, before);
 }
 
 }  // namespace
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -174,10 +174,10 @@
   Peer client = site.Client();
   client.Send(Read("one"));
   site.Grant();
-  const int picked = site.AwaitDialedUpstream();
-  Peer upstream = site.upstream(picked).Accept();
+  const int selected = site.AwaitDialedUpstream();
+  Peer upstream = site.upstream(selected).Accept();
   upstream.Command();
-  site.upstream(picked).Close();  // further connects are refused
+  site.upstream(selected).Close();  // further connects are refused
   upstream.Send(kValue);
   CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
   upstream.Close();
@@ -185,7 +185,7 @@
   for (int i = 0; i < 4; ++i) {  // whichever upstream is selected, the other one serves
     client.Send(Read("more"));
     site.Grant();
-    if (!other) other.emplace(site.upstream(1 - picked).Accept());
+    if (!other) other.emplace(site.upstream(1 - selected).Accept());
     other->Command();
     other->Send(kValue);
     CHECK(client.Until("hi\r\n") == "$2\r\nhi\r\n");
@@ -326,93 +326,6 @@
   CHECK(upstream.Command().at(2) == "one");
 }
 
-TEST_CASE(
-    "when client connections reach their limit, then those idle for longest are closed and new ones "
-    "accepted") {
-  Site site(1, {{"limits", {{"sockets", 32}}}});  // of which 8 are for clients
-  site.Start(1);
-  std::vector<Peer> idle;
-  std::optional<Peer> upstream;
-  for (int i = 0; i < 8; ++i) {
-    idle.push_back(site.Client());
-    idle.back().Send(Read("one"));
-    site.Grant();
-    if (!upstream) upstream.emplace(site.upstream(0).Accept());
-    upstream->Command();
-    upstream->Send(kValue);
-    idle.back().Until("hi\r\n");
-  }
-  Peer first = site.Client(), second = site.Client();
-  second.Send(Command({"PING"}));  // its response shows that both are accepted
-  CHECK(second.Line() == "+PONG\r\n");
-  first.Send(Command({"PING"}));
-  CHECK(first.Line() == "+PONG\r\n");
-  CHECK(idle[0].Ended());
-  CHECK(idle[1].Ended());
-  CHECK_FALSE(idle[7].HasMore());
-}
-
-TEST_CASE("near the limit of client connections only those idle for longest are closed early") {
-  Site site(1, {{"limits", {{"sockets", 32}}}});  // of which 8 are for clients, and 4 of these may stay idle
-  site.Start(1);
-  std::vector<Peer> clients;
-  std::optional<Peer> upstream;
-  for (int i = 0; i < 6; ++i) {
-    clients.push_back(site.Client());
-    clients.back().Send(Read("one"));
-    site.Grant();
-    if (!upstream) upstream.emplace(site.upstream(0).Accept());
-    upstream->Command();
-    upstream->Send(kValue);
-    clients.back().Until("hi\r\n");
-  }
-  CHECK(clients[0].Ended());
-  CHECK(clients[1].Ended());
-  CHECK_FALSE(clients[5].HasMore());
-}
-
-TEST_CASE("an idle client connection is closed early when connections are near their limit, and only then") {
-  const int sockets = GENERATE(32, 1024);
-  Site site(1, {{"limits", {{"sockets", sockets}}}});
-  site.Start(1);
-  std::vector<Peer> clients;
-  std::optional<Peer> upstream;
-  for (int i = 0; i < 4; ++i) {
-    clients.push_back(site.Client());
-    clients.back().Send(Read("one"));
-    site.Grant();
-    if (!upstream) upstream.emplace(site.upstream(0).Accept());
-    upstream->Command();
-    upstream->Send(kValue);
-    clients.back().Until("hi\r\n");
-  }
-  if (sockets == 32) {
-    CHECK(clients[0].Ended());
-  } else {
-    Peer silent = site.Client();
-    CHECK(silent.Ended());  // after a longer time than the clients above have been idle
-    CHECK_FALSE(clients[0].HasMore());
-  }
-}
-
-TEST_CASE("when a client stalls, then its pending commands fail with an error and its connection is closed") {
-  Site site(1);
-  site.Start(1);
-  Peer silent = site.Client(), half = site.Client(), mixed = site.Client();
-  half.Send("*4\r\n$8\r\nAPI.");
-  mixed.Send(Read("one") + "noise\r\n");  // the error waits for a response that does not arrive
-  site.Grant();
-  Peer upstream = site.upstream(0).Accept();
-  upstream.Command();
-  CHECK(mixed.Line() == "-ERR failed\r\n");
-  CHECK(mixed.Line() == "-ERR Protocol error: expected an array of bulk strings\r\n");
-  CHECK(mixed.Ended());
-  CHECK(upstream.Ended());
-  CHECK(half.Line() == "-ERR Protocol error: command not finished in time\r\n");
-  CHECK(half.Ended());
-  CHECK(silent.Ended());
-}
-
 TEST_CASE("after the connection to the counter or to discovery is lost, the gateway reconnects") {
   Site site(1);
   site.Start(1);
