--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -290,8 +290,8 @@
   int CheckAndReport() {
     const double settle = Quantile(settle_, 0.99), detect = Quantile(detect_, 0.99);
     const double ratio = bytes_.contains(500) ? bytes_[500] / bytes_[30] : bytes_[100] / bytes_[30];
-    const auto require = [&](bool held, const std::string& text) {
-      if (!held) AddViolation(text);
+    const auto require = [&](bool is_met, const std::string& text) {
+      if (!is_met) AddViolation(text);
     };
     require(settle <= 10, "views settled after " + std::to_string(settle) + " periods");
     require(detect <= 8, "a killed member was listed as live for " + std::to_string(detect) + " periods");
--- a/bench/idempotency.cpp
+++ b/bench/idempotency.cpp
@@ -120,10 +120,11 @@
     Upstreams upstreams(base_.get(), kUpstreamGroups, kUpstreamsPerGroup, options_.seed, seconds(15));
     Discovery discovery(base_.get());
     Counter counter(base_.get());
-    discovery.Publish(upstreams.Listed(kUpstreamsPerGroup));
+    discovery.Publish(upstreams.EndpointEntries(kUpstreamsPerGroup));
     const bool with_store = options_.disabled != "store";
-    GatewayGroup group(base_.get(), directory_, "on", with_store, upstreams.Listed(kUpstreamsPerGroup),
-                       discovery.address(), counter.address(), options_.seed);
+    GatewayGroup group(base_.get(), directory_, "on", with_store,
+                       upstreams.EndpointEntries(kUpstreamsPerGroup), discovery.address(), counter.address(),
+                       options_.seed);
     group.datagrams.loss = 0.2;
     group_ = &group;
     Clients clients(base_.get(), kGateways, [&](int rank) { return group.port(rank); });
@@ -167,13 +168,14 @@
       upstreams.Kill(4);
       upstream_down_ = true;
       fault_periods_.emplace_back(Clock::now(), Clock::now() + seconds(5));
-      After(base_.get(), seconds(1), [&] { discovery.Publish(upstreams.Listed(kUpstreamsPerGroup)); });
+      After(base_.get(), seconds(1),
+            [&] { discovery.Publish(upstreams.EndpointEntries(kUpstreamsPerGroup)); });
     });
     After(base_.get(), at(0.65) + seconds(4), [&] {
       upstreams.Restart(4);
       upstream_down_ = false;
       --pending_recoveries_;
-      discovery.Publish(upstreams.Listed(kUpstreamsPerGroup));
+      discovery.Publish(upstreams.EndpointEntries(kUpstreamsPerGroup));
     });
   }
 
@@ -314,12 +316,13 @@
     Upstreams upstreams(base_.get(), kUpstreamGroups, kUpstreamsPerGroup, options_.seed, seconds(15));
     Discovery discovery(base_.get());
     Counter counter(base_.get());
-    discovery.Publish(upstreams.Listed(kUpstreamsPerGroup));
-    GatewayGroup with_store(base_.get(), directory_, "cost-on", true, upstreams.Listed(kUpstreamsPerGroup),
-                            discovery.address(), counter.address(), options_.seed);
+    discovery.Publish(upstreams.EndpointEntries(kUpstreamsPerGroup));
+    GatewayGroup with_store(base_.get(), directory_, "cost-on", true,
+                            upstreams.EndpointEntries(kUpstreamsPerGroup), discovery.address(),
+                            counter.address(), options_.seed);
     GatewayGroup without_store(base_.get(), directory_, "cost-off", false,
-                               upstreams.Listed(kUpstreamsPerGroup), discovery.address(), counter.address(),
-                               options_.seed);
+                               upstreams.EndpointEntries(kUpstreamsPerGroup), discovery.address(),
+                               counter.address(), options_.seed);
     with_store.datagrams.max_delay = milliseconds(5);
     Clients with_store_clients(base_.get(), kGateways, [&](int rank) { return with_store.port(rank); });
     Clients without_store_clients(base_.get(), kGateways, [&](int rank) { return without_store.port(rank); });
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -26,7 +26,7 @@
 
 constexpr milliseconds kWriteDelay{100};
 constexpr milliseconds kStep{20};
-constexpr milliseconds kWarmUp{1'600};  // All gateways serve by then.
+constexpr milliseconds kStartUpTime{1'600};  // All gateways serve by then.
 // The time after the last fault in which requests in flight, starts and shutdowns complete.
 constexpr milliseconds kSettleTime{6'000};
 // New clients still connect for this time after a drain call or SIGTERM.
@@ -39,7 +39,7 @@
 constexpr milliseconds kSignalHandlersReady{200};  // after the start of a process
 constexpr int kFloodConnections = 120;
 // In runs with crowds, and only there, each process has this little memory.
-constexpr int kCrowdedMemoryMb = 16;
+constexpr int kOverloadMemoryMb = 16;
 constexpr int kDefaultMemoryMb = 192;
 
 struct Settings {
@@ -78,7 +78,7 @@
   int Run() {
     rig_.StartAll();
     rig_.StopPolls();
-    rig_.Run(kWarmUp);
+    rig_.Run(kStartUpTime);
     for (int i = 0; i < size(); ++i) at(i).new_connections_until = Clock::time_point::max();
     const auto end = Clock::now() + seconds(settings_.fault_seconds);
     auto next_fault = Clock::now() + milliseconds(500);
@@ -121,7 +121,7 @@
     out.loss = 0.02;
     out.seed = settings.seed;
     out.fault_shim = FAULT_SHIM;
-    out.memory_mb = settings.crowd > 0 ? kCrowdedMemoryMb : kDefaultMemoryMb;
+    out.memory_mb = settings.crowd > 0 ? kOverloadMemoryMb : kDefaultMemoryMb;
     out.more = "demand {\n tell = true\n}\n";
     out.more_classes = fleet_rig::AdditionalRequestClasses();
     return out;
@@ -337,7 +337,7 @@
     if (settings_.crowd == 0 || !rig_.alive(i)) return;
     const double peak = rig_.PeakMb(i);
     max_peak_mb_ = std::max(max_peak_mb_, peak);
-    if (peak < kCrowdedMemoryMb) return;
+    if (peak < kOverloadMemoryMb) return;
     oracle_.AddViolation("no process passes its memory limit",
                          "gk-" + std::to_string(i) + ": " + std::to_string(peak) + " MB");
   }
--- a/bench/soak_oracle.cpp
+++ b/bench/soak_oracle.cpp
@@ -158,8 +158,8 @@
     AddViolation("unsafe requests run once", Describe(name, *record));
   }
   if (CutBetween(record->gateway, record->written, now)) return;
-  const bool client_gone = record->client_disconnected && record->end == RequestEnd::kConnectionEnded;
-  if (client_gone && now - record->ended > kClientCloseDelay + kObserverLag) {
+  const bool client_disconnected = record->client_disconnected && record->end == RequestEnd::kConnectionEnded;
+  if (client_disconnected && now - record->ended > kClientCloseDelay + kObserverLag) {
     const auto paused = PausedTime(record->gateway, record->ended, now);
     // A process that is paused between its clock reading and its write is allowed 0.15 s for that.
     if (now - record->ended - paused > kClientCloseDelay + kObserverLag || paused == Clock::duration(0)) {
--- a/src/discovery/address_owners.cpp
+++ b/src/discovery/address_owners.cpp
@@ -2,7 +2,7 @@
 
 namespace postspread::discovery {
 
-AddressOwners::Decision AddressOwners::OnListed(const Claim& claim) {
+AddressOwners::Decision AddressOwners::OnAdded(const Claim& claim) {
   const auto own = addresses_.find(claim.name);
   const bool has_moved = own != addresses_.end() && own->second != claim.address;
   if (has_moved) OnRemoved(claim.name);
@@ -12,8 +12,8 @@
     const auto lost = displaced_addresses_.find(claim.name);
     const bool has_lost_it = lost != displaced_addresses_.end() && lost->second == claim.address;
     const bool is_later = claim.started > owner->second.started;
-    const bool is_newly_listed = claim.started == owner->second.started && !has_lost_it;
-    if (!is_later && !is_newly_listed) {
+    const bool is_newer_claim = claim.started == owner->second.started && !has_lost_it;
+    if (!is_later && !is_newer_claim) {
       displaced_addresses_[claim.name] = claim.address;
       return {};
     }
--- a/src/discovery/address_owners.h
+++ b/src/discovery/address_owners.h
@@ -24,7 +24,7 @@
     std::optional<std::string> displaced{};  // the upstream that owned the address until now
   };
   // An upstream is listed at an address.
-  Decision OnListed(const Claim& claim);
+  Decision OnAdded(const Claim& claim);
   void OnRemoved(const std::string& name);
   void Clear();
 
--- a/src/flow/byte_budget.cpp
+++ b/src/flow/byte_budget.cpp
@@ -21,7 +21,7 @@
   auto entry = std::find_if(readers_.begin(), readers_.end(),
                             [&reader](const Entry& each) { return each.reader == &reader; });
   if (entry == readers_.end()) entry = readers_.insert(entry, {.reader = &reader});
-  entry->wanted = growth.reserved;
+  entry->requested = growth.reserved;
   entry->message_size = growth.message_size;
   return TryGrow(*entry);
 }
@@ -47,11 +47,11 @@
 
 bool ByteBudget::TryGrow(Entry& entry) {
   const std::size_t before = entry.reserved;
-  if (!TryReserve(entry.wanted - before)) return false;
-  entry.reserved = entry.wanted;
+  if (!TryReserve(entry.requested - before)) return false;
+  entry.reserved = entry.requested;
   if (CanAllFinish()) return true;
   entry.reserved = before;
-  Release(entry.wanted - before);
+  Release(entry.requested - before);
   return false;
 }
 
--- a/src/flow/byte_budget.h
+++ b/src/flow/byte_budget.h
@@ -37,7 +37,7 @@
   // Reserves `bytes` at once, ahead of readers that wait; this is for what is small or already in memory.
   // Returns false and reserves nothing where the budget does not allow it.
   bool TryReserve(std::size_t bytes);
-  // Reserves `bytes` even beyond the total. This is for what is owed and bounded elsewhere.
+  // Reserves `bytes` even beyond the total. This is for what is pending and bounded elsewhere.
   void Reserve(std::size_t bytes) { used_ += bytes; }
   // Releases bytes that TryReserve or Reserve has reserved. It grants nothing, so the caller can reserve them
   // for another purpose first.
@@ -59,9 +59,9 @@
   struct Entry {
     Reader* reader;
     std::size_t reserved = 0;
-    std::size_t wanted = 0;  // more than `reserved` while the reader waits
+    std::size_t requested = 0;  // more than `reserved` while the reader waits
     std::size_t message_size = 0;
-    [[nodiscard]] bool waits() const { return wanted > reserved; }
+    [[nodiscard]] bool waits() const { return requested > reserved; }
     [[nodiscard]] std::size_t missing() const { return message_size - reserved; }
   };
   bool TryGrow(Entry& entry);
--- a/src/flow/memory_costs.h
+++ b/src/flow/memory_costs.h
@@ -9,7 +9,7 @@
 
 inline constexpr std::size_t kKibibyte = 1024;
 // The program's code and libraries as far as they are resident, its own state, and what is allocated only
-// within one call: the second copy of a message that is made contiguous, the text of a metrics response.
+// within one call: the contiguous copy of a message, the text of a metrics response.
 inline constexpr std::size_t kProgramBytes = 6'656 * kKibibyte;
 // Connections with their timers and buffers, without the bytes in the buffers.
 inline constexpr std::size_t kClientConnectionBytes = 3'400;
--- a/src/flow/resource_partition.cpp
+++ b/src/flow/resource_partition.cpp
@@ -33,26 +33,27 @@
               kParts);
 
 // The number of connections, and what each reads ahead.
-struct ConnectionShare {
+struct ConnectionCapacity {
   std::size_t connections = 0;
   std::size_t read_ahead = 0;
 };
 
-ConnectionShare ShareConnections(std::size_t bytes, std::size_t sockets, std::size_t connection_bytes) {
+ConnectionCapacity PartitionConnections(std::size_t bytes, std::size_t sockets,
+                                        std::size_t connection_bytes) {
   const std::size_t affordable = bytes / (connection_bytes + kMinBufferBytes);
-  ConnectionShare share;
-  share.connections = std::min(sockets, std::max(affordable, kMinConnections));
-  const std::size_t each = bytes / std::max<std::size_t>(1, share.connections);
+  ConnectionCapacity capacity;
+  capacity.connections = std::min(sockets, std::max(affordable, kMinConnections));
+  const std::size_t each = bytes / std::max<std::size_t>(1, capacity.connections);
   const std::size_t buffer = std::bit_floor(each - std::min(each, connection_bytes));
-  share.read_ahead = BufferCapacity(std::clamp(buffer, kMinBufferBytes, kMaxReadAheadBytes));
-  return share;
+  capacity.read_ahead = BufferCapacity(std::clamp(buffer, kMinBufferBytes, kMaxReadAheadBytes));
+  return capacity;
 }
 
 // Large requests get a quarter, but at least one command of the maximum size, unless too little would be left
 // for everything else.
 std::size_t LargeRequestBytes(std::size_t memory, std::size_t available, std::size_t max_command) {
-  const std::size_t wanted = std::max(max_command, memory / 4);
-  return available >= wanted + wanted / 4 ? wanted : available / 3;
+  const std::size_t preferred = std::max(max_command, memory / 4);
+  return available >= preferred + preferred / 4 ? preferred : available / 3;
 }
 
 }  // namespace
@@ -96,10 +97,10 @@
   // Clients get the larger fraction: connections to upstreams are reused, while clients may be slow and may
   // open a new connection for each request.
   const std::size_t client_sockets = sockets * 5 / 8;
-  const ConnectionShare clients =
-      ShareConnections(part * kClientParts, client_sockets, kClientConnectionBytes);
-  const ConnectionShare upstreams =
-      ShareConnections(part * kUpstreamParts, sockets - client_sockets, kUpstreamConnectionBytes);
+  const ConnectionCapacity clients =
+      PartitionConnections(part * kClientParts, client_sockets, kClientConnectionBytes);
+  const ConnectionCapacity upstreams =
+      PartitionConnections(part * kUpstreamParts, sockets - client_sockets, kUpstreamConnectionBytes);
   return {.request_bytes = part * kRequestParts,
           .large_request_bytes = large_request_bytes,
           .command_bytes = part * kCommandParts,
--- a/src/idempotency/peers.cpp
+++ b/src/idempotency/peers.cpp
@@ -31,7 +31,7 @@
 void Peers::Queue(int rank, const Record& record, Reply reply, TimePoint now) {
   if (!IsPeer(rank)) return;
   Peer& peer = peers_[static_cast<std::size_t>(rank)];
-  // An unavailable peer is sent only a probe at intervals; otherwise its queue would be full on its return.
+  // An unavailable peer receives only a probe at intervals; otherwise its queue would be full on its return.
   if (IsUnavailable(rank, now) && (!peer.queue.empty() || now - peer.last_sent < kUnavailableProbeInterval))
     return;
   if (peer.queue.size() >= kMaxQueued) {
--- a/src/net/downstream/client_connection.cpp
+++ b/src/net/downstream/client_connection.cpp
@@ -176,9 +176,9 @@
 std::size_t ClientConnection::MaxPendingResponses() const {
   const std::size_t affordable =
       context_.memory.requests.available() / flow::kRequestBytes / kMaxPendingDivisor;
-  const std::size_t fair_share =
+  const std::size_t even_part =
       context_.memory.partition.upstream_connections / std::max<std::size_t>(1, context_.active_connections);
-  return std::clamp<std::size_t>(std::min(affordable, fair_share), 1, kMaxPendingResponses);
+  return std::clamp<std::size_t>(std::min(affordable, even_part), 1, kMaxPendingResponses);
 }
 
 void ClientConnection::UpdatePaused() {
@@ -208,7 +208,7 @@
 void ClientConnection::ShedCommands() {
   is_shedding_ = true;
   for (std::size_t shed = 0; shed < kMaxShedBytes && IsDisconnectHidden();) {
-    shed += reader_.BytesHeld();
+    shed += reader_.BufferedBytes();
     if (reader_.IsWaitingForMemory()) RejectWaitingCommand();
     OnRead();
     reader_.ReadAvailable();
@@ -241,7 +241,7 @@
           .unwritten = Unwritten(connection_.get()),
           .unacknowledged = Unacknowledged(connection_.get()),
           .partial_command = reader_.partial_since().has_value(),
-          .unread = reader_.BytesHeld() > 0 || HasUnreadInput(connection_.get())};
+          .unread = reader_.BufferedBytes() > 0 || HasUnreadInput(connection_.get())};
 }
 
 bool ClientConnection::IsIdle() const {
@@ -277,7 +277,7 @@
   append("pending", responses_.size());
   append("unwritten", Unwritten(connection_.get()));
   if (reader_.partial_since()) text += " partial-command";
-  append("read", reader_.BytesHeld());
+  append("read", reader_.BufferedBytes());
   if (HasUnreadInput(connection_.get())) text += " unread-at-socket";
   return text;
 }
@@ -286,7 +286,7 @@
   if (state_ != State::kOpen || !scheduled_close_.IsDue(now)) return;
   if (!scheduled_close_.HasBegun()) {
     reader_.ReadAvailable();
-    scheduled_close_.Begin(reader_.BytesHeld() + UnreadBytes(connection_.get()));
+    scheduled_close_.Begin(reader_.BufferedBytes() + UnreadBytes(connection_.get()));
   }
   OnRead();
 }
--- a/src/net/downstream/client_connection_timeouts.cpp
+++ b/src/net/downstream/client_connection_timeouts.cpp
@@ -76,7 +76,7 @@
 
 void ClientConnection::RejectWaitingCommand() {
   if (!reader_.PartialState().has_head) {
-    // Without its head, the rest of the command can't be told from the next command.
+    // Without its head, the rest of the command can't be distinguished from the next command.
     OnProtocolError("no memory for a command of this length");
     return ShutDownIfAllowed();
   }
--- a/src/net/downstream/command_reader.cpp
+++ b/src/net/downstream/command_reader.cpp
@@ -135,7 +135,7 @@
   partial_since_.reset();
 }
 
-std::size_t CommandReader::UnrecordedBytes() const { return BytesHeld() - arrivals_.size(); }
+std::size_t CommandReader::UnrecordedBytes() const { return BufferedBytes() - arrivals_.size(); }
 
 void CommandReader::RecordArrival(const Arrival& arrival) {
   last_read_at_ = arrival.read_at;
@@ -158,7 +158,7 @@
 bool CommandReader::IsFull() const {
   if (!IsLarge()) return IsReadAheadFull();
   if (message_.size() < reserved_bytes_) return false;
-  return IsReadAheadFull() || capacity_ != read_ahead_ || BytesHeld() >= needed_bytes_;
+  return IsReadAheadFull() || capacity_ != read_ahead_ || BufferedBytes() >= needed_bytes_;
 }
 
 void CommandReader::GrowIfFull() {
@@ -222,7 +222,7 @@
           .is_contended = HoldsMemory() && budget().waiting() > 0,
           .waited = waited_,
           .waiting_since = waiting_since_,
-          .has_arrived = waiting_since_ && BytesHeld() + UnreadBytes(connection_) >= needed_bytes_,
+          .has_arrived = waiting_since_ && BufferedBytes() + UnreadBytes(connection_) >= needed_bytes_,
           .request_timeout = std::chrono::milliseconds::max()};
 }
 
--- a/src/net/downstream/command_reader.h
+++ b/src/net/downstream/command_reader.h
@@ -45,7 +45,7 @@
   void Consume();
 
   // Returns the number of bytes that have been read and not consumed.
-  [[nodiscard]] std::size_t BytesHeld() const { return message_.size() + ReadSize(connection_); }
+  [[nodiscard]] std::size_t BufferedBytes() const { return message_.size() + ReadSize(connection_); }
   // Returns the number of bytes that have been read and whose arrival is not recorded yet.
   [[nodiscard]] std::size_t UnrecordedBytes() const;
   struct Arrival {
--- a/src/net/downstream/response_sender.cpp
+++ b/src/net/downstream/response_sender.cpp
@@ -43,7 +43,7 @@
   const std::size_t needed = queue_.buffered_bytes() + (stream_bytes_ > 0 ? 0 : Unwritten(connection_));
   flow::ByteBudget& budget = context_.memory.responses;
   if (needed > reserved_bytes_) {
-    // The response is owed. It is the reply of an upstream, whose reservation has been released, or short.
+    // The response is pending. It is the reply of an upstream, whose reservation has been released, or short.
     budget.Reserve(needed - reserved_bytes_);
   } else {
     budget.Release(reserved_bytes_ - needed);
--- a/src/net/gateway/endpoint_registry.cpp
+++ b/src/net/gateway/endpoint_registry.cpp
@@ -20,7 +20,7 @@
 
 void EndpointRegistry::Apply(const config::EndpointList& received, EndpointUpdateKind kind) {
   if (received.is_snapshot) {
-    listed_.clear();
+    states_.clear();
     addresses_.Clear();
     ready_upstreams_ = 0;
   }
@@ -42,7 +42,7 @@
   if (upstream.state == UpstreamState::kRemoved) {
     addresses_.OnRemoved(upstream.name);
   } else {
-    const auto decision = addresses_.OnListed(
+    const auto decision = addresses_.OnAdded(
         {.name = upstream.name, .address = entry.address.text(), .started = upstream.started});
     if (!decision.is_owner) upstream.state = UpstreamState::kRemoved;
     if (decision.displaced) {
@@ -63,15 +63,15 @@
 
 // Returns false if there is no memory for the upstream.
 bool EndpointRegistry::Record(const Upstream& upstream) {
-  const auto known = listed_.find(upstream.name);
-  const bool is_new = known == listed_.end();
-  if (is_new && upstream.state != UpstreamState::kRemoved && listed_.size() >= max_endpoints_) return false;
+  const auto known = states_.find(upstream.name);
+  const bool is_new = known == states_.end();
+  if (is_new && upstream.state != UpstreamState::kRemoved && states_.size() >= max_endpoints_) return false;
   if (!is_new) {
     ready_upstreams_ -= known->second == UpstreamState::kReady ? 1 : 0;
-    listed_.erase(known);
+    states_.erase(known);
   }
   if (upstream.state == UpstreamState::kRemoved) return true;
-  listed_.emplace(upstream.name, upstream.state);
+  states_.emplace(upstream.name, upstream.state);
   ready_upstreams_ += upstream.state == UpstreamState::kReady ? 1 : 0;
   return true;
 }
--- a/src/net/gateway/endpoint_registry.h
+++ b/src/net/gateway/endpoint_registry.h
@@ -36,7 +36,7 @@
   UpstreamPool& pool_;
   PlannerDriver& driver_;
   const std::size_t max_endpoints_;
-  std::unordered_map<std::string, UpstreamState> listed_;  // by name
+  std::unordered_map<std::string, UpstreamState> states_;  // by name
   discovery::AddressOwners addresses_;
   std::size_t ready_upstreams_ = 0;
   std::size_t ignored_ = 0;  // entries of the present update, for lack of memory
--- a/tests/discovery/address_owners_test.cpp
+++ b/tests/discovery/address_owners_test.cpp
@@ -11,13 +11,13 @@
 TEST_CASE(
     "given a new upstream at another's address, it displaces the other until that one is listed elsewhere") {
   AddressOwners owners;
-  CHECK(owners.OnListed({.name = "a", .address = "x"}).is_owner);
-  const AddressOwners::Decision decision = owners.OnListed({.name = "b", .address = "x"});
+  CHECK(owners.OnAdded({.name = "a", .address = "x"}).is_owner);
+  const AddressOwners::Decision decision = owners.OnAdded({.name = "b", .address = "x"});
   CHECK(decision.is_owner);
   CHECK(decision.displaced == "a");
-  CHECK_FALSE(owners.OnListed({.name = "a", .address = "x"}).is_owner);
-  CHECK(owners.OnListed({.name = "b", .address = "x"}).is_owner);
-  const AddressOwners::Decision moved = owners.OnListed({.name = "a", .address = "y"});
+  CHECK_FALSE(owners.OnAdded({.name = "a", .address = "x"}).is_owner);
+  CHECK(owners.OnAdded({.name = "b", .address = "x"}).is_owner);
+  const AddressOwners::Decision moved = owners.OnAdded({.name = "a", .address = "y"});
   CHECK(moved.is_owner);
   CHECK_FALSE(moved.displaced);
 }
@@ -27,20 +27,20 @@
     AddressOwners owners;
     const AddressOwners::Claim earlier{.name = "a", .address = "x", .started = milliseconds(1)};
     const AddressOwners::Claim later{.name = "b", .address = "x", .started = milliseconds(2)};
-    owners.OnListed(later_first ? later : earlier);
-    owners.OnListed(later_first ? earlier : later);
-    CHECK(owners.OnListed(later).is_owner);
-    CHECK_FALSE(owners.OnListed(earlier).is_owner);
+    owners.OnAdded(later_first ? later : earlier);
+    owners.OnAdded(later_first ? earlier : later);
+    CHECK(owners.OnAdded(later).is_owner);
+    CHECK_FALSE(owners.OnAdded(earlier).is_owner);
   }
 }
 
 TEST_CASE("when the owner of an address is removed or moves, another upstream may own it") {
   AddressOwners owners;
-  owners.OnListed({.name = "a", .address = "x", .started = milliseconds(5)});
+  owners.OnAdded({.name = "a", .address = "x", .started = milliseconds(5)});
   owners.OnRemoved("a");
-  CHECK_FALSE(owners.OnListed({.name = "b", .address = "x"}).displaced);
-  owners.OnListed({.name = "b", .address = "y"});
-  CHECK(owners.OnListed({.name = "c", .address = "x"}).is_owner);
+  CHECK_FALSE(owners.OnAdded({.name = "b", .address = "x"}).displaced);
+  owners.OnAdded({.name = "b", .address = "y"});
+  CHECK(owners.OnAdded({.name = "c", .address = "x"}).is_owner);
 }
 
 }  // namespace
--- a/tests/fleet/habit_paths_test.cpp
+++ b/tests/fleet/habit_paths_test.cpp
@@ -61,7 +61,7 @@
     "twice and all responses are in time") {
   RetryFixture fixture;
   fixture.ConnectAll(2);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.ResetUpstreamsRepeatedly(/*connect_meanwhile=*/true);
   fixture.rig.Run(milliseconds(3'200));
   fixture.DisconnectAll();
@@ -75,7 +75,7 @@
   options.fault_shim = FAULT_SHIM;
   RetryFixture fixture(options);
   fixture.ConnectAll(2);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.FailureRate(FaultyCall::kConnect) = 500;
   fixture.FailureRate(FaultyCall::kSocket) = 300;
   fixture.ResetUpstreamsRepeatedly();
@@ -92,7 +92,7 @@
   RetryFixture fixture;
   fixture.CountLateAttempts();
   fixture.ConnectAll(3);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.ConnectAll(1);  // clients that have only just connected
   fixture.rig.Run(milliseconds(20));
   fixture.rig.ResetConnections(0, Rig::Service::kUpstreams);
@@ -111,7 +111,7 @@
   bool hangs = true;
   fixture.rig.upstreams().hangs = [&hangs](int) { return hangs; };
   fixture.ConnectAll(3);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.DisconnectAll();
   fixture.rig.Run(milliseconds(500));
   hangs = false;
@@ -130,7 +130,7 @@
   RetryFixture fixture;
   fixture.CountLateAttempts();
   fixture.ConnectAll(10);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.rig.Stop(0);
   fixture.rig.ResetConnections(0, Rig::Service::kUpstreams);
   fixture.rig.Run(milliseconds(50));
@@ -165,7 +165,7 @@
   constexpr int kInactiveClients = 400;
   ClientBehaviorFixture fixture;
   fixture.ConnectAll(3);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   std::vector<std::unique_ptr<ScriptedClient>> inactive_clients;
   for (int i = 0; i < kInactiveClients; ++i) {
     const ClientBehavior behavior = i % 3 == 0   ? ClientBehavior::kPartialCommand
@@ -192,7 +192,7 @@
   constexpr int kInactiveClients = 250;
   ClientBehaviorFixture fixture({.sockets = 200});
   fixture.ConnectAll(3);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   std::vector<std::unique_ptr<ScriptedClient>> inactive_clients;
   inactive_clients.reserve(kInactiveClients);
   for (int i = 0; i < kInactiveClients; ++i) {
--- a/tests/fleet/habit_site.h
+++ b/tests/fleet/habit_site.h
@@ -18,7 +18,7 @@
 // The time from the start of the gateway process until it serves.
 inline constexpr milliseconds kStartupTime{1'300};
 // The time in which each client shows its behavior.
-inline constexpr milliseconds kWarmUpTime{400};
+inline constexpr milliseconds kStartUpTime{400};
 // The load balancer in front sends new connections for this long after a drain call or SIGTERM.
 inline constexpr milliseconds kTrafficAfterDrain{300};
 // The platform may send SIGKILL this long after SIGTERM.
@@ -66,7 +66,7 @@
   // still sends connections. Returns the time at which `action` ended.
   Clock::time_point RunScenario(const std::function<void()>& action) {
     ConnectAll(3);
-    rig.Run(kWarmUpTime);
+    rig.Run(kStartUpTime);
     action();
     const auto at = Clock::now();
     rig.Run(kTrafficAfterDrain);
--- a/tests/fleet/habits_test.cpp
+++ b/tests/fleet/habits_test.cpp
@@ -138,7 +138,7 @@
         record != nullptr && record->client_disconnected && Clock::now() - record->ended > milliseconds(300);
   };
   fixture.ConnectAll(3);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.rig.Stop(0);
   fixture.rig.Run(milliseconds(300));
   for (std::size_t i = 0; i < fixture.clients.size(); i += 3) fixture.clients[i]->Disconnect();
@@ -173,7 +173,7 @@
   ClientBehaviorFixture fixture({.fault_shim = FAULT_SHIM});
   fixture.TrackDeadlines();
   fixture.ConnectAll(2);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.FailureRate(FaultyCall::kSendBuffer) = 1'000;
   fixture.rig.Run(milliseconds(700));
   fixture.FailureRate(FaultyCall::kSendBuffer) = 0;
@@ -188,7 +188,7 @@
     "takes effect soon") {
   ClientBehaviorFixture fixture({.fault_shim = FAULT_SHIM});
   fixture.ConnectAll(2);
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.FailureRate(FaultyCall::kRead) = 1'000;
   fixture.FailureRate(FaultyCall::kEpollAdd) = 1'000;
   for (int i = 0; i < 10; ++i) {
@@ -237,7 +237,7 @@
                                                                target, ClientBehavior::kSlowReader,
                                                                fixture.clients.size() + 1));
   }
-  fixture.rig.Run(kWarmUpTime);
+  fixture.rig.Run(kStartUpTime);
   fixture.FailureRate(FaultyCall::kEpollAdd) = 1'000;
   fixture.rig.Run(milliseconds(1'500));
   fixture.FailureRate(FaultyCall::kEpollAdd) = 0;
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -91,7 +91,7 @@
   gateway.discovery = std::make_unique<Discovery>(base_.get());
   gateway.discovery_relay = std::make_unique<Relay>(base_.get(), gateway.discovery->address());
   gateway.counter_relay = std::make_unique<Relay>(base_.get(), counter_->address());
-  json list = upstreams_->Listed(1);
+  json list = upstreams_->EndpointEntries(1);
   for (json& entry : list) {
     gateway.upstream_relays.push_back(
         std::make_unique<Relay>(base_.get(), entry["address"].get<std::string>()));
@@ -323,7 +323,7 @@
 }
 void Rig::PublishEndpoints(const std::set<int>& draining) {
   for (const auto& g : gateways_) {
-    json list = upstreams_->Listed(1);
+    json list = upstreams_->EndpointEntries(1);
     for (std::size_t upstream = 0; upstream < list.size(); ++upstream) {
       list[upstream]["address"] = g->upstream_relays[upstream]->address();
       if (draining.contains(static_cast<int>(upstream))) list[upstream]["status"] = "Terminating";
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -40,7 +40,7 @@
   double loss = 0;  // the fraction of datagrams that are lost
   std::uint64_t seed = 1;
   int sockets = 1'024;       // maximum number of open descriptors of a gateway; the rig enforces it
-  int memory_mb = 192;       // the memory limit that a gateway is told
+  int memory_mb = 192;       // the memory limit in the configuration of a gateway
   int more_endpoints = 0;    // draining upstreams that the endpoint list contains beside the others
   bool view = true;          // whether the membership view (the block `fleet`) is enabled
   std::string disabled{};    // the disabled defense, one of kDefenses; empty: none
--- a/tests/flow/byte_budget_test.cpp
+++ b/tests/flow/byte_budget_test.cpp
@@ -95,7 +95,7 @@
     std::vector<Message*> open;
     open.reserve(messages.size());
     for (Message& message : messages) open.push_back(&message);
-    bool total_kept = true;
+    bool totals_match = true;
     int steps = 0;
     for (; !open.empty() && steps < 20'000; ++steps) {
       Message* message = open[random() % open.size()];
@@ -112,9 +112,9 @@
       }
       std::size_t reserved = 0;
       for (const Message& each : messages) reserved += each.reserved;
-      total_kept = total_kept && reserved == budget.used() && reserved <= budget.total();
+      totals_match = totals_match && reserved == budget.used() && reserved <= budget.total();
     }
-    CHECK(total_kept);
+    CHECK(totals_match);
     CHECK(open.empty());
     CHECK(budget.waiting() == 0);
     CHECK(budget.used() == 0);
--- a/tests/net/downstream/aborted_value_test.cpp
+++ b/tests/net/downstream/aborted_value_test.cpp
@@ -1,5 +1,5 @@
 // Guards against a large value that breaks off and takes other responses of its connection along: those
-// before it are complete, and those behind it are owed as long as none of its bytes has left.
+// before it are complete, and those behind it stay pending as long as none of its bytes has left.
 #include <sys/socket.h>
 
 #include <algorithm>
--- a/tests/net/upstream/upstream_pool_test.cpp
+++ b/tests/net/upstream/upstream_pool_test.cpp
@@ -139,9 +139,9 @@
   Peer old = site.upstream(0).Accept();
   old.Command();
   Port other;
-  const Port& listed = has_moved ? other : site.upstream(0);
+  const Port& published = has_moved ? other : site.upstream(0);
   site.Publish(Site::List(false, {{{"name", "s-0"},
-                                   {"address", listed.address()},
+                                   {"address", published.address()},
                                    {"since_ms", changed == "since_ms" ? 1'700'000'000'000 : 0},
                                    {"group", changed == "group" ? 1 : 0},
                                    {"zone", changed == "zone" ? "b" : ""},
--- a/tests/partners/platform.h
+++ b/tests/partners/platform.h
@@ -55,7 +55,7 @@
     ++incarnations_[static_cast<std::size_t>(upstream)];
   }
   void Restart(int upstream) { servers_[static_cast<std::size_t>(upstream)]->Restart(); }
-  nlohmann::json Listed(int per_cell) const {
+  nlohmann::json EndpointEntries(int per_cell) const {
     nlohmann::json out = nlohmann::json::array();
     for (int i = 0; i < size(); ++i) {
       const auto& server = servers_[static_cast<std::size_t>(i)];
--- a/tests/partners/site.h
+++ b/tests/partners/site.h
@@ -124,9 +124,9 @@
   void Start(int count, const json& others = json::array()) {
     watch_.emplace_back(discovery_.Accept());
     CHECK(watch().Until("\r\n\r\n").find("GET /api/targets HTTP/1.1\r\n") == 0);
-    json listed = Entries(0, count, "Ready");
-    listed.insert(listed.end(), others.begin(), others.end());
-    Publish(List(true, std::move(listed)));
+    json entries = Entries(0, count, "Ready");
+    entries.insert(entries.end(), others.begin(), others.end());
+    Publish(List(true, std::move(entries)));
     CHECK(watch().Until("\r\n\r\n").find("GET /api/targets?since=41&timeout_ms=") == 0);
     counter_connections_.emplace_back(counter_.Accept());
     WaitUntilReady();
--- a/tests/planner/planner_fixture.h
+++ b/tests/planner/planner_fixture.h
@@ -63,9 +63,9 @@
   RequestId Pick(double units = 1) {
     Request request = Lookup(kCustomer);
     request.units = units;
-    const Planner::PickResult picked = planner.Pick(request, now);
-    SaveActions(picked.actions);
-    return picked.request_id;
+    const Planner::PickResult selected = planner.Pick(request, now);
+    SaveActions(selected.actions);
+    return selected.request_id;
   }
 
   void Report(ReportValue report) { SaveActions(planner.Report(std::move(report), now)); }
--- a/tests/planner/planner_test.cpp
+++ b/tests/planner/planner_test.cpp
@@ -110,12 +110,12 @@
     CHECK_FALSE(fixture.planner.Reconfigure(next));
   }
   CHECK(fixture.planner.class_slots() == 2);
-  const Planner::PickResult picked = fixture.planner.Pick({.class_name = "class49",
-                                                           .plan = "team",
-                                                           .customer = "0000000000000002",
-                                                           .timeout = milliseconds(2000)},
-                                                          fixture.now);
-  CHECK(std::holds_alternative<StartAttempt>(picked.actions[0]));
+  const Planner::PickResult selected = fixture.planner.Pick({.class_name = "class49",
+                                                             .plan = "team",
+                                                             .customer = "0000000000000002",
+                                                             .timeout = milliseconds(2000)},
+                                                            fixture.now);
+  CHECK(std::holds_alternative<StartAttempt>(selected.actions[0]));
   next.plans[0].name = "crew";
   CHECK(fixture.planner.Reconfigure(next));
   fixture.Pick();
@@ -143,8 +143,8 @@
   int sent = 0;
   for (int i = 0; i < 100; ++i) {
     const std::string customer = std::to_string(i);
-    const Planner::PickResult picked = planner.Pick(Lookup(customer), now);
-    for (const Action& action : picked.actions) {
+    const Planner::PickResult selected = planner.Pick(Lookup(customer), now);
+    for (const Action& action : selected.actions) {
       const auto* attempt = std::get_if<StartAttempt>(&action);
       sent += attempt != nullptr && attempt->upstream == "b";
     }
--- a/tests/planner/subsystems_test.cpp
+++ b/tests/planner/subsystems_test.cpp
@@ -22,19 +22,19 @@
 int CountAdmitted(Planner& planner, Clock::time_point now, int requests, double total) {
   int admitted = 0;
   for (int i = 0; i < requests; ++i, now += milliseconds(200)) {
-    const Planner::PickResult picked = planner.Pick({.class_name = "lookup",
-                                                     .plan = "team",
-                                                     .customer = "f",
-                                                     .timeout = seconds(2),
-                                                     .units = 1,
-                                                     .spread = 100},
-                                                    now);
-    std::vector<Action> actions(picked.actions.begin(), picked.actions.end());
+    const Planner::PickResult selected = planner.Pick({.class_name = "lookup",
+                                                       .plan = "team",
+                                                       .customer = "f",
+                                                       .timeout = seconds(2),
+                                                       .units = 1,
+                                                       .spread = 100},
+                                                      now);
+    std::vector<Action> actions(selected.actions.begin(), selected.actions.end());
     for (std::size_t next = 0; next < actions.size(); ++next) {
       Actions more;
       if (std::holds_alternative<StartAttempt>(actions[next])) {
         ++admitted;
-        more = planner.Report(AttemptReport{.request = picked.request_id, .upstream = "a"}, now);
+        more = planner.Report(AttemptReport{.request = selected.request_id, .upstream = "a"}, now);
       } else if (const auto* call = std::get_if<CallCounter>(&actions[next])) {
         const CounterResult result = total > 0 && i > 0 ? CounterResult::kAdded : CounterResult::kRejected;
         more = planner.Report(CounterReport{call->name, result, total}, now);
@@ -116,16 +116,16 @@
   // Returns whether the first gateway starts a request with a new key at once, because it has no replica to
   // query.
   bool StartsAtOnce(const char* key) {
-    const Planner::PickResult picked = planners_[0]->Pick({.class_name = "lookup",
-                                                           .plan = "team",
-                                                           .customer = "0000000000000001",
-                                                           .timeout = seconds(2),
-                                                           .units = 1,
-                                                           .spread = 2,
-                                                           .is_write = true,
-                                                           .key = key},
-                                                          now_);
-    return std::any_of(picked.actions.begin(), picked.actions.end(),
+    const Planner::PickResult selected = planners_[0]->Pick({.class_name = "lookup",
+                                                             .plan = "team",
+                                                             .customer = "0000000000000001",
+                                                             .timeout = seconds(2),
+                                                             .units = 1,
+                                                             .spread = 2,
+                                                             .is_write = true,
+                                                             .key = key},
+                                                            now_);
+    return std::any_of(selected.actions.begin(), selected.actions.end(),
                        [](const Action& action) { return std::holds_alternative<StartAttempt>(action); });
   }
 
@@ -163,13 +163,13 @@
   std::vector<AttemptReport> reports;
   for (int i = 0; i < 60; ++i) {
     const std::string customer = std::to_string(i);
-    const Planner::PickResult picked = planner.Pick(Lookup(customer), now);
-    for (const Action& action : picked.actions) {
+    const Planner::PickResult selected = planner.Pick(Lookup(customer), now);
+    for (const Action& action : selected.actions) {
       const auto* attempt = std::get_if<StartAttempt>(&action);
       if (attempt == nullptr) continue;
       used.insert(attempt->upstream);
       reports.push_back(
-          {.request = picked.request_id, .upstream = attempt->upstream, .elapsed = milliseconds(5)});
+          {.request = selected.request_id, .upstream = attempt->upstream, .elapsed = milliseconds(5)});
     }
   }
   now += milliseconds(5);
