A large command is collected without zeroing its buffer first

The collected bytes are now appended to the buffer piece by piece, where the buffer was extended with zeros and then overwritten.

--- a/src/net/downstream/command_reader.cpp
+++ b/src/net/downstream/command_reader.cpp
@@ -76,10 +76,13 @@
   const std::size_t limit = std::min(needed_bytes_, reserved_bytes_);
   const std::size_t size = std::min(ReadSize(connection_), limit - std::min(limit, message_.size()));
   if (size == 0) return;
-  const std::size_t begin = message_.size();
   message_.reserve(needed_bytes_ + kMessageSlack);
-  message_.resize(begin + size);
-  evbuffer_remove(bufferevent_get_input(connection_), message_.data() + begin, size);
+  for (std::size_t left = size; left > 0;) {
+    const std::string_view chunk = PeekFirst(connection_).substr(0, left);
+    message_ += chunk;
+    left -= chunk.size();
+    net::Consume(connection_, chunk.size());
+  }
   if (capacity_ != read_ahead_) ReleaseReadBuffer();
 }
 
