--- a/src/discovery/address_owners.h
+++ b/src/discovery/address_owners.h
@@ -23,7 +23,8 @@
     bool is_owner = false;
     std::optional<std::string> displaced{};  // the upstream that owned the address until now
   };
-  // An upstream is listed at an address.
+  // Records that the endpoint list has an upstream at an address, and decides which upstream owns the
+  // address.
   Decision OnAdded(const Claim& claim);
   void OnRemoved(const std::string& name);
   void Clear();
--- a/src/net/upstream/upstream_attempt.h
+++ b/src/net/upstream/upstream_attempt.h
@@ -60,7 +60,7 @@
 
   Kind kind = Kind::kRequest;
   AttemptKey key;                // set for a request only
-  resp::EncodedRequest message;  // set for a request only, until its first byte has been sent
+  resp::EncodedRequest message;  // set for a request only, until its first byte has been sent or it has ended
   Clock::time_point started_at;
   Clock::time_point arrive_by;  // the latest arrival of the last byte
   Clock::time_point deadline;
