A burst of queries after a pause no longer makes a live gateway unavailable

In a trial with upstreams killed in series a gateway got late repeats of 41 keys, started 15 as new and resumed 26 within 7 ms, without a vote, while both its peers were alive.

Cause: a peer was unavailable when twelve queries had no reply and the first of them was peer_silent old. One lost reply, a pause and a burst of eleven queries were enough. Where the cells had changed their sizes, a key that was claimed alone went to another cell.

Silence now counts only while the peer is queried: a pause of over four retry intervals begins the count anew, unless it is complete, and the last of the twelve has a retry interval for its reply.

--- a/src/idempotency/peers.cpp
+++ b/src/idempotency/peers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "idempotency/timing.h"
+
 namespace postspread::idempotency {
 namespace {
 
@@ -10,6 +12,9 @@
 // The number of datagrams without a reply after which the peer's silence is not attributed to packet loss.
 // With one datagram in five lost each way, loss alone causes eleven such runs in a million.
 constexpr int kMinUnanswered = 12;
+// A peer that is queried continuously receives a query at least this often, in multiples of the retry
+// interval.
+constexpr int kMaxRetryIntervalsBetweenQueries = 4;
 constexpr Duration kUnavailableProbeInterval{250'000};  // between datagrams to an unavailable peer
 // Incarnations are wall-clock times, and the wall clock may be set back before a restart. A lower incarnation
 // is taken for a replaced one only while its datagrams may still be in flight, and for a new start after
@@ -72,7 +77,8 @@
   const auto index = static_cast<std::size_t>(rank);
   const Peer& peer = peers_[index];
   if (index < view_.size() && view_[index].unavailable) return true;
-  return peer.unanswered >= kMinUnanswered && now - peer.unanswered_since >= limits_.peer_silent;
+  return peer.unanswered >= kMinUnanswered && now - peer.unanswered_since >= limits_.peer_silent &&
+         now - peer.min_unanswered_at >= RetryInterval(limits_);
 }
 
 std::uint64_t Peers::Incarnation(int rank) const {
@@ -111,11 +117,22 @@
     expects_reply = expects_reply || next.reply == Reply::kExpected;
     peer.queue.pop_front();
   }
-  if (expects_reply && peer.unanswered++ == 0) peer.unanswered_since = now;
+  if (expects_reply) RecordQuery(peer, now);
   peer.last_sent = now;
   return EncodeDatagram(own_header_, records);
 }
 
+// A peer's silence counts only while it is queried. If a reply was lost before a pause, the pause is not part
+// of the silence: otherwise the first burst of queries after it would make the peer unavailable at once.
+void Peers::RecordQuery(Peer& peer, TimePoint now) const {
+  const bool after_pause = now - peer.last_query > kMaxRetryIntervalsBetweenQueries * RetryInterval(limits_);
+  peer.last_query = now;
+  if (after_pause && peer.unanswered < kMinUnanswered) peer.unanswered = 0;
+  if (peer.unanswered == 0) peer.unanswered_since = now;
+  ++peer.unanswered;
+  if (peer.unanswered == kMinUnanswered) peer.min_unanswered_at = now;
+}
+
 std::optional<TimePoint> Peers::NextFlush() const {
   std::optional<TimePoint> out;
   for (const Peer& peer : peers_) {
--- a/src/idempotency/peers.h
+++ b/src/idempotency/peers.h
@@ -47,8 +47,8 @@
   // recently replaced incarnation sent the datagram.
   [[nodiscard]] bool OnDatagram(int rank, std::uint64_t incarnation, TimePoint now);
 
-  // Returns whether the view reports the peer as unavailable, or several queries have had no reply for
-  // `peer_silent`.
+  // Returns whether the view reports the peer as unavailable, or several queries, sent without a pause, have
+  // had no reply for `peer_silent`.
   [[nodiscard]] bool IsUnavailable(int rank, TimePoint now) const;
   // Returns the incarnation in the peer's last datagram; 0: none has arrived.
   [[nodiscard]] std::uint64_t Incarnation(int rank) const;
@@ -80,10 +80,13 @@
     TimePoint refilled{0};
     int unanswered = 0;  // datagrams that expect a reply, sent since the peer's last datagram arrived
     TimePoint unanswered_since{0};
+    TimePoint min_unanswered_at{0};  // when the number of unanswered datagrams reached its minimum
+    TimePoint last_query{0};         // when a datagram that expects a reply was last sent
     TimePoint last_sent{0};
   };
   [[nodiscard]] bool IsPeer(int rank) const;
   std::optional<std::string> NextDatagram(int rank, TimePoint now);
+  void RecordQuery(Peer& peer, TimePoint now) const;
   void RefillTokens(Peer& peer, TimePoint now) const;
   [[nodiscard]] double Burst() const;
   [[nodiscard]] TimePoint ReadyAt(const Peer& peer) const;
--- a/tests/idempotency/cluster_test.cpp
+++ b/tests/idempotency/cluster_test.cpp
@@ -342,5 +342,26 @@
   }
 }
 
+// Guards against a change that is executed in a second group, because a gateway took its live peers for
+// unavailable and claimed the key alone.
+TEST_CASE("when replies are lost before a pause and groups change, many repeats at once are executed once") {
+  constexpr int kKeys = 200;
+  Cluster cluster(3, FastPeerLimits(), 5);
+  for (int i = 0; i < kKeys; ++i) cluster.Send(0, "k" + std::to_string(i));
+  cluster.RunFor(seconds(1));
+  // Gateway 1 queries its peers about a few keys and receives no reply.
+  cluster.is_partitioned = [](int, int to) { return to == 1; };
+  for (int i = 0; i < 8; ++i) cluster.Send(1, "lost" + std::to_string(i), milliseconds(20));
+  cluster.RunFor(milliseconds(100));
+  cluster.is_partitioned = [](int, int) { return false; };
+  cluster.RunFor(seconds(5));
+  cluster.groups = {{1, 1}, {2, 3}, {3, 3}};
+  for (int i = 0; i < kKeys; ++i) cluster.Send(1, "k" + std::to_string(i));
+  cluster.RunFor(seconds(8));
+  CHECK(cluster.history().executed_twice() == 0);
+  CHECK(cluster.history().conflicting_responses() == 0);
+  CHECK(cluster.history().CountResponses(ResponseKind::kCompleted) == 2 * kKeys);
+}
+
 }  // namespace
 }  // namespace postspread::idempotency::testing
