A key's new holder gets the vote of a replica that knew a holder with higher rounds

Cause: a replica that learns of another holder kept the round of the former one. Rounds of two gateways can't be compared; where the new holder counted lower, its claims were dropped as stale, without a vote.

The round is now replaced with the holder.

--- a/src/idempotency/peer_messages.cpp
+++ b/src/idempotency/peer_messages.cpp
@@ -220,8 +220,10 @@
     return EntryStatus::kPresent;
   }
   claims_.ApplyPlacement(entry, vote);
-  entry.holder.rank = vote.holder;
-  entry.holder.incarnation = vote.holder_incarnation;
+  if (!entry.IsClaimedBy(vote.holder, vote.holder_incarnation)) {
+    // Rounds of different gateways can't be compared.
+    entry.holder = {.rank = vote.holder, .incarnation = vote.holder_incarnation};
+  }
   entry.SetPhase(vote.phase);
   if (vote.holder != from || vote.phase == Phase::kRunning) {
     entry.next_attempt = now + kHolderQueryInterval;
